--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use glenreel::*;
+use marbledeck::*;
 use std::collections::HashMap;
 
 const OUTCOMES: [Outcome; 7] = [
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -1,7 +1,7 @@
 //! Hosts many independent instances: the wire's ids to the library's and back.
 
 use crate::wire::{Batch, Facts, Feedback, Line, Msg};
-use glenreel::*;
+use marbledeck::*;
 use std::collections::HashMap;
 use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 
@@ -337,7 +337,7 @@
         quota: t.quota_per_s,
         share: t.share,
     });
-    let default = glenreel::Rules::default();
+    let default = marbledeck::Rules::default();
     let (b, r) = (&facts.bounds, &facts.rules);
     Ok(Settings {
         dispatchers: facts.balancers,
@@ -359,7 +359,7 @@
             cancel: b.may_cancel,
             max_retry_after: b.max_retry_after_us.filter(|_| b.retry_after).map(Micros),
         },
-        rules: glenreel::Rules {
+        rules: marbledeck::Rules {
             cold_from: r.cold_from.unwrap_or(default.cold_from),
             warm_up: r.warm_up_us.map_or(default.warm_up, Micros),
             overload_factor: r.overload_factor.unwrap_or(default.overload_factor),
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -11,7 +11,7 @@
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            eprintln!("glenreel-wirehost: {what}");
+            eprintln!("marbledeck-wirehost: {what}");
             ExitCode::FAILURE
         }
     }
