Share the settings' reading between the adapter and the node to come

The crate facts/ holds the platform's settings object, its mapping to the module and the meaning of report values, moved from the adapter unchanged. No decision is touched.

--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -1,17 +1,17 @@
 //! Hosts many independent instances: the wire's ids to the library's and back.
 
-use crate::wire::{Batch, Facts, Feedback, Line, Msg};
+use crate::wire::{Batch, Line, Msg};
 use marbledeck::*;
+use marbledeck_facts::{worker_id, Facts, Reads};
 use std::collections::HashMap;
-use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
 
-/// The workers' words by their ids. An id is a hash of the word, so that it is the same at every dispatcher.
+/// The workers' words by their ids.
 #[derive(Default)]
 struct Words(HashMap<WorkerId, Box<str>>);
 
 impl Words {
     fn id(&mut self, word: &str) -> WorkerId {
-        let id = WorkerId(BuildHasherDefault::<DefaultHasher>::default().hash_one(word));
+        let id = worker_id(word);
         self.0.entry(id).or_insert_with(|| word.into());
         id
     }
@@ -33,22 +33,6 @@
     next: u64,
 }
 
-/// Which report values carry a meaning that the library knows.
-#[derive(Clone, Copy)]
-struct Reads {
-    slots: bool,
-    memory: bool,
-}
-
-impl Reads {
-    fn report(self, f: Feedback) -> Report {
-        Report {
-            free_slots: f.x0.filter(|_| self.slots),
-            free_memory: f.x1.filter(|_| self.memory),
-        }
-    }
-}
-
 /// All instances of this process.
 #[derive(Default)]
 pub struct Host {
@@ -111,11 +95,8 @@
 
 impl Instance {
     fn new(facts: &Facts, seed: u64, now: Micros) -> Result<Self, SettingsError> {
-        let settings = settings(facts)?;
-        let reads = Reads {
-            slots: facts.family_info.report_x0 == "free slots",
-            memory: facts.family_info.report_x1 == "free memory",
-        };
+        let settings = facts.settings()?;
+        let reads = facts.reads();
         Ok(Instance {
             dispatcher: Dispatcher::new(settings, seed, now)?,
             reads,
@@ -307,64 +288,3 @@
         _ => Outcome::Error,
     }
 }
-
-fn settings(facts: &Facts) -> Result<Settings, SettingsError> {
-    let mut classes = Vec::new();
-    for (i, p) in facts.profiles.iter().enumerate() {
-        let effect = match (p.effect.as_str(), p.dedup_scope.as_str()) {
-            ("safe", _) => Effect::Safe,
-            ("unsafe", _) => Effect::Unsafe,
-            ("keyed", "all") => Effect::Keyed(Group::All, Micros(p.dedup_window_us)),
-            ("keyed", "zone") => Effect::Keyed(Group::Zone, Micros(p.dedup_window_us)),
-            ("keyed", "cell") => Effect::Keyed(Group::Cell, Micros(p.dedup_window_us)),
-            (e, g) => {
-                return Err(SettingsError(format!(
-                    "class {i}: unknown effect '{e}' of group '{g}'"
-                )))
-            }
-        };
-        let info = &facts.family_info;
-        let kind = info.class_kind.get(i).and_then(|&k| u32::try_from(k).ok());
-        classes.push(Class {
-            effect,
-            kind: kind.map(KindId),
-            aim: Micros(p.promise_us),
-            stretch: info.class_stretch.get(i).copied().unwrap_or(p.aim_stretch),
-            deadline: Micros(p.deadline_us),
-        });
-    }
-    let tenants = facts.tenants.iter().map(|t| Tenant {
-        quota: t.quota_per_s,
-        share: t.share,
-    });
-    let default = marbledeck::Rules::default();
-    let (b, r) = (&facts.bounds, &facts.rules);
-    Ok(Settings {
-        dispatchers: facts.balancers,
-        index: facts.self_index,
-        zone: ZoneId(facts.zone),
-        classes,
-        tenants: tenants.collect(),
-        reporting: match facts.stats.how.as_str() {
-            "piggyback" => Reporting::Carried,
-            "pull" => Reporting::Probed,
-            _ => Reporting::Never,
-        },
-        tells_start: facts.family_info.tells_start,
-        ask_list: facts.registry_mode == "subscribe",
-        limits: Limits {
-            attempts: b.try_limit.unwrap_or(Limits::default().attempts),
-            second_copies: b.second_copies,
-            probes: b.probes,
-            cancel: b.may_cancel,
-            max_retry_after: b.max_retry_after_us.filter(|_| b.retry_after).map(Micros),
-        },
-        rules: marbledeck::Rules {
-            cold_from: r.cold_from.unwrap_or(default.cold_from),
-            warm_up: r.warm_up_us.map_or(default.warm_up, Micros),
-            overload_factor: r.overload_factor.unwrap_or(default.overload_factor),
-            tip_after: r.tip_after_us.map_or(default.tip_after, Micros),
-            ask_within: r.must_ask_in_us.map_or(default.ask_within, Micros),
-        },
-    })
-}
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -1,5 +1,6 @@
 //! The simulator's messages as types: batches in, replies out. Nothing is decided here.
 
+use marbledeck_facts::{Facts, Feedback};
 use serde::de::{Error, IgnoredAny, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use std::borrow::Cow;
@@ -28,14 +29,6 @@
     pub msgs: Vec<Msg<'a>>,
 }
 
-/// A load report.
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-pub struct Feedback {
-    pub x0: Option<f64>,
-    pub x1: Option<f64>,
-}
-
 /// One message.
 #[derive(Debug)]
 pub enum Msg<'a> {
@@ -233,91 +226,3 @@
         d.deserialize_seq(LineVisitor)
     }
 }
-
-/// The settings as the wire has them.
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Facts {
-    pub balancers: u32,
-    pub profiles: Vec<Profile>,
-    #[serde(default)]
-    pub bounds: Bounds,
-    #[serde(default)]
-    pub family_info: FamilyInfo,
-    #[serde(default)]
-    pub registry_mode: String,
-    #[serde(default)]
-    pub rules: Rules,
-    #[serde(default)]
-    pub stats: Stats,
-    #[serde(default)]
-    pub tenants: Vec<Tenant>,
-    #[serde(default)]
-    pub zone: u32,
-    #[serde(default)]
-    pub self_index: u32,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Profile {
-    #[serde(default)]
-    pub effect: String,
-    #[serde(default)]
-    pub dedup_scope: String,
-    #[serde(default)]
-    pub dedup_window_us: u64,
-    #[serde(default)]
-    pub promise_us: u64,
-    #[serde(default)]
-    pub deadline_us: u64,
-    #[serde(default)]
-    pub aim_stretch: f64,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Bounds {
-    pub try_limit: Option<u32>,
-    pub second_copies: bool,
-    pub probes: bool,
-    pub may_cancel: bool,
-    pub retry_after: bool,
-    pub max_retry_after_us: Option<u64>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct FamilyInfo {
-    pub class_kind: Vec<i64>,
-    pub class_stretch: Vec<f64>,
-    #[serde(rename = "report-x0")]
-    pub report_x0: String,
-    #[serde(rename = "report-x1")]
-    pub report_x1: String,
-    pub tells_start: bool,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Rules {
-    pub cold_from: Option<f64>,
-    pub warm_up_us: Option<u64>,
-    pub overload_factor: Option<f64>,
-    pub tip_after_us: Option<u64>,
-    pub must_ask_in_us: Option<u64>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-pub struct Stats {
-    pub how: String,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Tenant {
-    pub quota_per_s: Option<f64>,
-    #[serde(default)]
-    pub share: f64,
-}
