--- /dev/null
+++ b/node/src/clock.rs
@@ -0,0 +1,36 @@
+//! The node's one clock: it never goes backwards, and Unix times are converted here.
+
+use marbledeck::Micros;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Counts from the Unix time at the start, and from then on as the monotonic clock does. A step of the system's
+/// clock so moves no deadline.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    started: Instant,
+    unix_at_start: Micros,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        Clock {
+            started: Instant::now(),
+            unix_at_start: Micros(unix.map_or(0, |d| d.as_micros() as u64)),
+        }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.unix_at_start + Micros(self.started.elapsed().as_micros() as u64)
+    }
+
+    /// A moment told in Unix milliseconds; none for 0, which stands for long ago.
+    pub fn from_unix_ms(ms: u64) -> Option<Micros> {
+        (ms > 0).then(|| Micros(ms.saturating_mul(1000)))
+    }
+}
+
+/// A span of so many milliseconds.
+pub const fn millis(ms: u64) -> Micros {
+    Micros(ms * 1000)
+}
--- /dev/null
+++ b/node/src/config.rs
@@ -0,0 +1,297 @@
+//! The one place where configuration is read, checked and given defaults: the environment, the file at
+//! `LB_CONFIG` and the front's file under `deploy/`. Every error names the key.
+
+use crate::core::Catalogue;
+use crate::directory::Listing;
+use marbledeck::{Micros, Settings};
+use marbledeck_facts::{Facts, Reads};
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Descriptors kept for the epoll, the standard streams, listeners, the directory and the signals' pipe.
+const KEPT: usize = 48;
+/// Idle connections to workers are closed by these by default, and connects given up after that.
+const IDLE: Micros = Micros(5_000_000);
+const CONNECT: Micros = Micros(250_000);
+
+/// What is wrong, and with which key.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    pub key: String,
+    pub what: String,
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.what)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+fn err<T>(key: impl Into<String>, what: impl fmt::Display) -> Result<T, ConfigError> {
+    Err(ConfigError {
+        key: key.into(),
+        what: what.to_string(),
+    })
+}
+
+/// The file at `LB_CONFIG`, as it is written.
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: Option<String>,
+    #[serde(default)]
+    listen: Option<String>,
+    #[serde(default)]
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: Option<String>,
+    #[serde(default)]
+    limits: FileLimits,
+    #[serde(default)]
+    known: Option<Listing>,
+    settings: Facts,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct FileLimits {
+    sockets: usize,
+}
+
+impl Default for FileLimits {
+    fn default() -> Self {
+        FileLimits { sockets: 1024 }
+    }
+}
+
+/// What the node is told.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub directory: SocketAddr,
+    pub seed: u64,
+    pub known: Option<Listing>,
+    pub settings: Settings,
+    pub catalogue: Catalogue,
+    pub reads: Reads,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// Whether workers send reports, which their probes then show.
+    pub reports: bool,
+    /// A worker closes a connection that has been idle for so long.
+    pub idle: Micros,
+    pub connect_timeout: Micros,
+    pub most_consumers: usize,
+    pub most_worker_connections: usize,
+    pub log: log::LevelFilter,
+}
+
+impl Config {
+    /// Reads the environment through `var`, and the file that it names.
+    pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let log = match var("MARBLEDECK_LOG").as_deref() {
+            None | Some("") => log::LevelFilter::Info,
+            Some(level) => match level.parse() {
+                Ok(level) => level,
+                Err(_) => {
+                    return err(
+                        "MARBLEDECK_LOG",
+                        "want off, error, warn, info, debug or trace",
+                    )
+                }
+            },
+        };
+        let Some(path) = var("LB_CONFIG") else {
+            return err("LB_CONFIG", "not set");
+        };
+        let text = match std::fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(e) => return err("LB_CONFIG", format_args!("{path}: {e}")),
+        };
+        let mut json = serde_json::Deserializer::from_str(&text);
+        let file: File = keyed("LB_CONFIG", serde_path_to_error::deserialize(&mut json))?;
+        let either = |name: &str, key: &str, in_file: &Option<String>| match var(name) {
+            Some(value) => Ok((name.to_owned(), value)),
+            None => match in_file {
+                Some(value) => Ok((format!("LB_CONFIG: {key}"), value.clone())),
+                None => err(
+                    name,
+                    format_args!("not set, and '{key}' is not in LB_CONFIG"),
+                ),
+            },
+        };
+        let listen = address(either("LB_LISTEN", "listen", &file.listen)?)?;
+        let directory = address(either("LB_DISCOVERY", "discovery", &file.discovery)?)?;
+        let seed = match file.seed.as_deref().map(|s| u64::from_str_radix(s, 16)) {
+            None => std::process::id().into(),
+            Some(Ok(seed)) => seed,
+            Some(Err(_)) => return err("LB_CONFIG: seed", "want a number in hexadecimal digits"),
+        };
+        let facts = file.settings;
+        let settings = match facts.settings() {
+            Ok(settings) => settings,
+            Err(e) => return err("LB_CONFIG: settings", e.0),
+        };
+        if let Some(i) = facts.profiles.iter().position(|p| p.name.is_empty()) {
+            return err(format!("LB_CONFIG: settings.profiles[{i}].name"), "missing");
+        }
+        let sockets = file.limits.sockets.min(1024);
+        if sockets < 2 * KEPT {
+            return err(
+                "LB_CONFIG: limits.sockets",
+                format_args!("want {} or more", 2 * KEPT),
+            );
+        }
+        let most_worker_connections = (sockets - KEPT) * 2 / 5;
+        Ok(Config {
+            name: either("LB_NAME", "name", &file.name)?.1,
+            listen,
+            directory,
+            seed,
+            known: file.known,
+            catalogue: Catalogue::new(&facts, &settings),
+            reads: facts.reads(),
+            reports: settings.reporting != marbledeck::Reporting::Never,
+            settings,
+            idle: facts.bounds.conn_idle_us.map_or(IDLE, Micros),
+            connect_timeout: facts.bounds.connect_timeout_us.map_or(CONNECT, Micros),
+            zones: facts.localities,
+            kinds: facts.kinds,
+            most_consumers: sockets - KEPT - most_worker_connections,
+            most_worker_connections,
+            log,
+        })
+    }
+}
+
+fn address((key, text): (String, String)) -> Result<SocketAddr, ConfigError> {
+    match text.parse() {
+        Ok(addr) => Ok(addr),
+        Err(_) => err(key, format_args!("'{text}' is no address with a port")),
+    }
+}
+
+/// Names the key that a value was read for.
+fn keyed<T, E: fmt::Display>(
+    source: &str,
+    read: Result<T, serde_path_to_error::Error<E>>,
+) -> Result<T, ConfigError> {
+    read.or_else(|e| {
+        let path = e.path().to_string();
+        match path.as_str() {
+            "." | "?" => err(source, e.inner()),
+            path => err(format!("{source}: {path}"), e.inner()),
+        }
+    })
+}
+
+/// The file of the submission front.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SubmissionConfig {
+    /// Where submitters connect.
+    pub listen: SocketAddr,
+    /// The ids of the workers that are spoken to by submission.
+    #[serde(default)]
+    pub workers: Vec<String>,
+    /// The longest line, in bytes.
+    #[serde(default = "defaults::max_line")]
+    pub max_line: usize,
+    /// Jobs held, running and ended ones together.
+    #[serde(default = "defaults::max_jobs")]
+    pub max_jobs: usize,
+    /// Bytes of templates and results held.
+    #[serde(default = "defaults::max_bytes")]
+    pub max_bytes: usize,
+    /// Jobs of one `runBulkJobs`.
+    #[serde(default = "defaults::max_bulk")]
+    pub max_bulk: usize,
+    /// Submitters connected at a time.
+    #[serde(default = "defaults::max_submitters")]
+    pub max_submitters: usize,
+    /// How long an ended job can be asked for.
+    #[serde(default = "defaults::retain_s")]
+    pub retain_s: u64,
+}
+
+mod defaults {
+    pub fn max_line() -> usize {
+        128 * 1024
+    }
+    pub fn max_jobs() -> usize {
+        4096
+    }
+    pub fn max_bytes() -> usize {
+        32 * 1024 * 1024
+    }
+    pub fn max_bulk() -> usize {
+        256
+    }
+    pub fn max_submitters() -> usize {
+        64
+    }
+    pub fn retain_s() -> u64 {
+        300
+    }
+}
+
+impl SubmissionConfig {
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let source = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&source, &text),
+            Err(e) => err(source, e),
+        }
+    }
+
+    fn parse(source: &str, text: &str) -> Result<Self, ConfigError> {
+        let toml = match toml::Deserializer::parse(text) {
+            Ok(toml) => toml,
+            Err(e) => return err(source, e.message()),
+        };
+        let config: Self = keyed(source, serde_path_to_error::deserialize(toml))?;
+        let wanted = [
+            ("max_line", config.max_line, 1024, 160 * 1024),
+            ("max_jobs", config.max_jobs, 1, 65536),
+            ("max_bytes", config.max_bytes, 1024, 64 * 1024 * 1024),
+            ("max_bulk", config.max_bulk, 1, 4096),
+            ("max_submitters", config.max_submitters, 1, 256),
+            ("retain_s", config.retain_s as usize, 1, 86400),
+        ];
+        for (key, value, least, most) in wanted {
+            if !(least..=most).contains(&value) {
+                return err(
+                    format!("{source}: {key}"),
+                    format_args!("want {least} to {most}"),
+                );
+            }
+        }
+        Ok(config)
+    }
+}
+
+/// What the command line says.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Arguments {
+    pub submission: Option<PathBuf>,
+}
+
+impl Arguments {
+    pub fn read(mut words: impl Iterator<Item = String>) -> Result<Self, ConfigError> {
+        let mut arguments = Arguments::default();
+        while let Some(word) = words.next() {
+            match word.as_str() {
+                "--submission" => match words.next() {
+                    Some(path) => arguments.submission = Some(path.into()),
+                    None => return err("--submission", "want a file"),
+                },
+                _ => return err(word, "unknown argument; known: --submission FILE"),
+            }
+        }
+        Ok(arguments)
+    }
+}
--- /dev/null
+++ b/node/src/consumers/intake.rs
@@ -0,0 +1,80 @@
+//! A consumer's request as an order for the core, and the checks that need no settings.
+
+use crate::core::{Order, Work};
+use crate::net::http::{Fault, RequestHead};
+use marbledeck::Micros;
+
+/// The longest that a consumer may say it waits.
+const LONGEST_MS: u64 = 24 * 3600 * 1000;
+
+/// An answer of the front's own: a status and a few words.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Rejected(pub u16, pub String);
+
+impl From<Fault> for Rejected {
+    fn from(fault: Fault) -> Self {
+        let status = match fault {
+            Fault::Malformed(_) => 400,
+            Fault::HeadTooLong => 431,
+            Fault::BodyTooLong => 413,
+        };
+        Rejected(status, fault.to_string())
+    }
+}
+
+fn bad(what: &str) -> Rejected {
+    Rejected(400, what.to_owned())
+}
+
+/// A field that goes into a line of the call to the worker: as it came, and not empty.
+fn named(head: &RequestHead, name: &str) -> Option<String> {
+    let value = head.fields.get(name).filter(|value| !value.is_empty());
+    value.map(str::to_owned)
+}
+
+/// What is asked for, without its body.
+pub fn order(head: &RequestHead) -> Result<Order<'_>, Rejected> {
+    let txn = named(head, "X-Txn").ok_or_else(|| bad("X-Txn is missing"))?;
+    let class = head
+        .fields
+        .get("X-Lane")
+        .ok_or_else(|| bad("X-Lane is missing"))?;
+    let remaining = head.fields.get("X-Remaining-Ms");
+    let remaining = remaining.filter(|ms| ms.bytes().all(|b| b.is_ascii_digit()));
+    let remaining = remaining.and_then(|ms| ms.parse::<u64>().ok());
+    let remaining = remaining.filter(|ms| *ms > 0);
+    let remaining = remaining.ok_or_else(|| bad("X-Remaining-Ms wants whole milliseconds"))?;
+    let (mut slots, mut memory) = (0.0, 0.0);
+    let labels = head.fields.get("X-Labels").unwrap_or_default();
+    for (name, value) in labels.split(',').filter_map(|label| label.split_once('=')) {
+        let value = value
+            .trim()
+            .parse()
+            .ok()
+            .filter(|v: &f64| v.is_finite() && *v >= 0.0);
+        match (name.trim(), value) {
+            ("slots" | "cores-needed", Some(value)) => slots = value,
+            ("memory", Some(value)) => memory = value,
+            _ => {}
+        }
+    }
+    let hint = head.fields.get("X-Estimate");
+    let hint = hint
+        .and_then(|ms| ms.parse::<f64>().ok())
+        .filter(|ms| *ms > 0.0);
+    Ok(Order {
+        class,
+        tenant: head.fields.get("X-Org"),
+        time_left: Micros(remaining.min(LONGEST_MS) * 1000),
+        cost_hint: hint.map(|ms| Micros::from_secs(ms / 1000.0)),
+        slots,
+        memory,
+        work: Work {
+            txn,
+            key: named(head, "Idempotency-Key"),
+            method: head.method.clone(),
+            target: head.target.clone(),
+            body: Vec::new(),
+        },
+    })
+}
--- /dev/null
+++ b/node/src/core/mod.rs
@@ -0,0 +1,198 @@
+//! The node without its wires: it owns the dispatcher, the invocations, their timers and ids. Fronts and worker
+//! links hand it events and carry out its commands.
+//!
+//! An invocation passes the stages in the order of the modules below, each a unit of its own:
+//! [`take_in`], [`admit`], [`route`], [`send`], [`relay`] and [`book`].
+
+mod admit;
+mod book;
+mod relay;
+mod route;
+mod send;
+mod table;
+mod take_in;
+mod timers;
+
+pub use book::Counts;
+pub use take_in::{Catalogue, Malformed, Order};
+
+use marbledeck::{
+    Action, Dispatcher, Entry, Event, ListKind, Micros, Outcome, Report, RequestId, Settings,
+    SettingsError, WorkerId,
+};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use table::Table;
+use timers::{Due, Timers};
+
+/// What a worker is handed, unchanged by the node.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// The consumer's id of this try.
+    pub txn: String,
+    /// The key by which workers drop repeats.
+    pub key: Option<String>,
+    /// How and on what it is to be done: opaque to the core.
+    pub method: String,
+    /// Likewise.
+    pub target: String,
+    /// Likewise.
+    pub body: Vec<u8>,
+}
+
+/// The final answer of an invocation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The result that a worker gave for it.
+    Served(Vec<u8>),
+    /// Trying again is harmless, perhaps after this time.
+    Refused(Option<Micros>),
+    /// Nothing is promised.
+    Failed,
+}
+
+/// What the fronts and the worker links are to do.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Make an invoker call, to be answered by one [`Core::call_ended`].
+    Call {
+        id: RequestId,
+        attempt: u32,
+        worker: WorkerId,
+        work: Rc<Work>,
+        until: Micros,
+    },
+    /// Stop waiting for a call. Nothing more is to be told of it.
+    GiveUp { id: RequestId, attempt: u32 },
+    /// Ask a worker for its load, to be answered by one [`Core::probed`].
+    Probe(WorkerId),
+    /// Watch the directory.
+    Watch,
+    /// The final answer, once for each invocation; `sent` is the last send that may have run.
+    Answer {
+        id: RequestId,
+        verdict: Verdict,
+        sent: Option<Micros>,
+    },
+    /// A worker has begun to run the invocation.
+    Running(RequestId),
+}
+
+/// A point in time by which the core wants to be woken, and all that it decides and remembers.
+pub struct Core {
+    dispatcher: Dispatcher,
+    catalogue: Catalogue,
+    attempts: u32,
+    table: Table,
+    timers: Timers,
+    counts: Counts,
+    ready_workers: bool,
+    /// What the dispatcher is still to be told, in order.
+    pending: VecDeque<Event>,
+    actions: Vec<Action>,
+    commands: VecDeque<Command>,
+}
+
+impl Core {
+    pub fn new(
+        settings: Settings,
+        catalogue: Catalogue,
+        seed: u64,
+        now: Micros,
+    ) -> Result<Self, SettingsError> {
+        let attempts = settings.limits.attempts;
+        Ok(Core {
+            dispatcher: Dispatcher::new(settings, seed, now)?,
+            catalogue,
+            attempts,
+            table: Table::default(),
+            timers: Timers::default(),
+            counts: Counts::default(),
+            ready_workers: false,
+            pending: VecDeque::new(),
+            actions: Vec::new(),
+            commands: VecDeque::new(),
+        })
+    }
+
+    /// The next thing to do, if any.
+    pub fn command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
+    }
+
+    /// When [`Core::wake`] is next wanted.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.timers.next()
+    }
+
+    /// Handles every timer that is due.
+    pub fn wake(&mut self, now: Micros) {
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Dispatcher(token) => self.pending.push_back(Event::Timer(token)),
+                Due::Attempt(id, attempt) => self.time_out(now, id, attempt),
+                Due::Deadline(id) => self.overdue(id),
+            }
+            self.decide(now);
+        }
+    }
+
+    /// The directory has told its list, a part of it, or that it cannot.
+    pub fn listed(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>) {
+        if kind != ListKind::Failed {
+            self.ready_workers |= !entries.is_empty();
+        }
+        self.pending.push_back(Event::List(kind, entries));
+        self.decide(now);
+    }
+
+    pub fn probed(
+        &mut self,
+        now: Micros,
+        worker: WorkerId,
+        outcome: Outcome,
+        report: Option<Report>,
+    ) {
+        self.pending
+            .push_back(Event::Probed(worker, outcome, report));
+        self.decide(now);
+    }
+
+    /// Whether the directory has named any worker yet.
+    pub fn has_workers(&self) -> bool {
+        self.ready_workers
+    }
+
+    /// Whether no invocation waits for its final answer.
+    pub fn idle(&self) -> bool {
+        self.table.unanswered() == 0
+    }
+
+    pub fn catalogue(&self) -> &Catalogue {
+        &self.catalogue
+    }
+
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Lets the dispatcher handle what is pending and carries out its actions, until it has no more of either.
+    fn decide(&mut self, now: Micros) {
+        while let Some(event) = self.pending.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.dispatcher.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    Action::Send(id, worker, timeout) => self.route(now, id, worker, timeout),
+                    Action::Refuse(id, come_back) => self.refuse(id, come_back),
+                    Action::Fail(id) => self.fail(id),
+                    Action::Cancel(id, attempt) => self.cancel(now, id, attempt),
+                    Action::Probe(worker) => self.commands.push_back(Command::Probe(worker)),
+                    Action::Timer(at, token) => self.timers.add(at, Due::Dispatcher(token)),
+                    Action::Watch => self.commands.push_back(Command::Watch),
+                }
+            }
+            self.actions = actions;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/core/relay.rs
@@ -0,0 +1,68 @@
+//! Stage 5, relay: what comes back from the workers goes to the dispatcher, and a result to the consumer.
+
+use super::{Command, Core, Verdict};
+use marbledeck::{Ended, Event, Micros, Outcome, Report, RequestId};
+
+impl Core {
+    /// A worker has begun to run a call.
+    pub fn call_started(&mut self, now: Micros, id: RequestId, attempt: u32) {
+        if self.table.out(id, attempt).is_none() {
+            return;
+        }
+        if self.table.get(id).is_some_and(|i| !i.answered) {
+            self.commands.push_back(Command::Running(id));
+        }
+        self.pending.push_back(Event::Started(id, attempt));
+        self.decide(now);
+    }
+
+    /// A call has ended; `result` comes with [`Outcome::Ok`] and is what the worker made. An end told twice, or
+    /// told of a call that was given up, is ignored.
+    pub fn call_ended(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        result: Option<Vec<u8>>,
+        report: Option<Report>,
+    ) {
+        if self.table.out(id, attempt).is_none() {
+            return;
+        }
+        if let Some(result) = result.filter(|_| outcome == Outcome::Ok) {
+            self.finish(id, Verdict::Served(result));
+        }
+        self.back(now, id, attempt, outcome, report);
+        self.decide(now);
+    }
+
+    /// Notes the end of a call that is out, for the dispatcher to hear of.
+    pub(super) fn back(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        report: Option<Report>,
+    ) {
+        let Some(call) = self.table.out(id, attempt) else {
+            return;
+        };
+        call.out = false;
+        call.never_ran = outcome.never_ran();
+        let (worker, latency) = (call.worker, now - call.sent);
+        let closed = self.table.get(id).is_none_or(|i| i.answered);
+        self.counts.end(outcome);
+        self.pending.push_back(Event::Ended(Ended {
+            id,
+            attempt,
+            worker,
+            outcome,
+            closed,
+            latency,
+            report,
+        }));
+        self.table.forget(id);
+    }
+}
--- /dev/null
+++ b/node/src/core/route.rs
@@ -0,0 +1,43 @@
+//! Stage 3, route: checks that a send the dispatcher wants can be made at all, and numbers the call.
+
+use super::table::Call;
+use super::Core;
+use marbledeck::{Ended, Event, Micros, Outcome, RequestId, WorkerId};
+
+impl Core {
+    /// A send that can no longer be made is moot, and told so: each send gets exactly one end.
+    pub(super) fn route(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        worker: WorkerId,
+        timeout: Option<Micros>,
+    ) {
+        let most = self.attempts as usize;
+        let Some(invocation) = self.table.get(id) else {
+            return log::error!("a send for invocation {}, which is over", id.0);
+        };
+        let attempt = invocation.calls.len() as u32;
+        let may =
+            !invocation.answered && now < invocation.deadline && invocation.calls.len() < most;
+        invocation.calls.push(Call {
+            worker,
+            sent: now,
+            out: may,
+            never_ran: !may,
+        });
+        if may {
+            return self.send(now, id, attempt, timeout);
+        }
+        let closed = invocation.answered;
+        self.pending.push_back(Event::Ended(Ended {
+            id,
+            attempt,
+            worker,
+            outcome: Outcome::Moot,
+            closed,
+            latency: Micros(0),
+            report: None,
+        }));
+    }
+}
--- /dev/null
+++ b/node/src/core/send.rs
@@ -0,0 +1,47 @@
+//! Stage 4, send: hands a call to the worker links and sees to its time-out and its withdrawal.
+
+use super::timers::Due;
+use super::{Command, Core};
+use marbledeck::{Micros, Outcome, RequestId};
+
+impl Core {
+    pub(super) fn send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: u32,
+        timeout: Option<Micros>,
+    ) {
+        let Some(invocation) = self.table.get(id) else {
+            return;
+        };
+        let asked = timeout.map_or(invocation.deadline, |t| now + t);
+        let until = asked.min(invocation.deadline);
+        let worker = invocation.calls[attempt as usize].worker;
+        let work = invocation.work.clone();
+        self.timers.add(until, Due::Attempt(id, attempt));
+        self.counts.calls += 1;
+        self.commands.push_back(Command::Call {
+            id,
+            attempt,
+            worker,
+            work,
+            until,
+        });
+    }
+
+    pub(super) fn time_out(&mut self, now: Micros, id: RequestId, attempt: u32) {
+        self.stop_waiting(now, id, attempt, Outcome::TimedOut);
+    }
+
+    pub(super) fn cancel(&mut self, now: Micros, id: RequestId, attempt: u32) {
+        self.stop_waiting(now, id, attempt, Outcome::Cancelled);
+    }
+
+    fn stop_waiting(&mut self, now: Micros, id: RequestId, attempt: u32, outcome: Outcome) {
+        if self.table.out(id, attempt).is_some() {
+            self.commands.push_back(Command::GiveUp { id, attempt });
+            self.back(now, id, attempt, outcome, None);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/core/table.rs
@@ -0,0 +1,86 @@
+//! The invocations: each is kept until it has its final answer and all of its calls are back.
+
+use super::Work;
+use marbledeck::{Micros, RequestId, WorkerId};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+pub struct Call {
+    pub worker: WorkerId,
+    pub sent: Micros,
+    pub out: bool,
+    /// Proved never to have run.
+    pub never_ran: bool,
+}
+
+pub struct Invocation {
+    pub work: Rc<Work>,
+    pub deadline: Micros,
+    pub answered: bool,
+    pub calls: Vec<Call>,
+}
+
+impl Invocation {
+    /// When it was last sent by a call that may have run.
+    pub fn last_sent(&self) -> Option<Micros> {
+        let may_have_run = self.calls.iter().filter(|c| !c.never_ran);
+        may_have_run.map(|c| c.sent).max()
+    }
+}
+
+#[derive(Default)]
+pub struct Table {
+    map: HashMap<RequestId, Invocation>,
+    next: u64,
+    unanswered: usize,
+}
+
+impl Table {
+    /// Enters an invocation under an id that is never used again.
+    pub fn enter(&mut self, work: Work, deadline: Micros) -> RequestId {
+        let id = RequestId(self.next);
+        self.next += 1;
+        let new = Invocation {
+            work: Rc::new(work),
+            deadline,
+            answered: false,
+            calls: Vec::new(),
+        };
+        self.map.insert(id, new);
+        self.unanswered += 1;
+        id
+    }
+
+    pub fn get(&mut self, id: RequestId) -> Option<&mut Invocation> {
+        self.map.get_mut(&id)
+    }
+
+    /// The call of this number, as long as it is out.
+    pub fn out(&mut self, id: RequestId, attempt: u32) -> Option<&mut Call> {
+        let call = self.map.get_mut(&id)?.calls.get_mut(attempt as usize);
+        call.filter(|call| call.out)
+    }
+
+    /// Marks an invocation as answered. Tells false where it is unknown or has had its answer: final is once.
+    pub fn answer(&mut self, id: RequestId) -> bool {
+        let open = self.map.get_mut(&id).filter(|i| !i.answered);
+        let Some(invocation) = open else {
+            return false;
+        };
+        invocation.answered = true;
+        self.unanswered -= 1;
+        true
+    }
+
+    /// Drops an invocation that is answered and has no call out.
+    pub fn forget(&mut self, id: RequestId) {
+        let over = |i: &Invocation| i.answered && i.calls.iter().all(|c| !c.out);
+        if self.map.get(&id).is_some_and(over) {
+            self.map.remove(&id);
+        }
+    }
+
+    pub fn unanswered(&self) -> usize {
+        self.unanswered
+    }
+}
--- /dev/null
+++ b/node/src/core/take_in.rs
@@ -0,0 +1,120 @@
+//! Stage 1, take in: what a front hands over is checked against the settings' names and entered in the table.
+
+use super::timers::Due;
+use super::{Core, Work};
+use crate::clock::millis;
+use marbledeck::{ClassId, Effect, Event, Job, Micros, RequestId, Settings, TenantId};
+use marbledeck_facts::Facts;
+use std::fmt;
+
+/// How long after its deadline an invocation without an answer is failed: well within the time still accepted.
+const BACKSTOP: Micros = millis(2);
+
+/// What a front hands over.
+#[derive(Debug, Default)]
+pub struct Order<'a> {
+    pub class: &'a str,
+    pub tenant: Option<&'a str>,
+    /// How long the consumer waits.
+    pub time_left: Micros,
+    pub cost_hint: Option<Micros>,
+    pub slots: f64,
+    pub memory: f64,
+    pub work: Work,
+}
+
+/// Why an order was not taken. Nothing of it has run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Malformed {
+    UnknownClass(String),
+    UnknownTenant(String),
+    MissingKey,
+    NoTimeLeft,
+    TooMany,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Malformed::UnknownClass(name) => write!(f, "unknown class '{name}'"),
+            Malformed::UnknownTenant(name) => write!(f, "unknown tenant '{name}'"),
+            Malformed::MissingKey => f.write_str("this class needs a key"),
+            Malformed::NoTimeLeft => f.write_str("no time is left"),
+            Malformed::TooMany => f.write_str("too many invocations are open"),
+        }
+    }
+}
+
+/// The names of classes and tenants, and which classes carry a key.
+#[derive(Clone, Debug, Default)]
+pub struct Catalogue {
+    classes: Vec<(String, Effect)>,
+    tenants: Vec<String>,
+    max_open: usize,
+}
+
+impl Catalogue {
+    pub fn new(facts: &Facts, settings: &Settings) -> Self {
+        let names = facts.profiles.iter().map(|p| p.name.clone());
+        let effects = settings.classes.iter().map(|c| c.effect);
+        Catalogue {
+            classes: names.zip(effects).collect(),
+            tenants: facts.tenants.iter().map(|t| t.name.clone()).collect(),
+            max_open: facts.bounds.max_open.map_or(usize::MAX, |n| n as usize),
+        }
+    }
+
+    /// The position of a class, and what repeating does there.
+    pub fn class(&self, name: &str) -> Option<(ClassId, Effect)> {
+        let at = self.classes.iter().position(|(known, _)| known == name)?;
+        Some((ClassId(at as u32), self.classes[at].1))
+    }
+
+    /// The position of a tenant; sites without tenants take any name.
+    pub fn tenant(&self, name: Option<&str>) -> Option<TenantId> {
+        if self.tenants.is_empty() {
+            return Some(TenantId(0));
+        }
+        let at = self
+            .tenants
+            .iter()
+            .position(|known| Some(&**known) == name)?;
+        Some(TenantId(at as u32))
+    }
+}
+
+impl Core {
+    /// Takes an order in. From here on it gets exactly one final answer.
+    pub fn take_in(&mut self, now: Micros, order: Order) -> Result<RequestId, Malformed> {
+        let class = self.catalogue.class(order.class);
+        let (class, effect) = class.ok_or_else(|| Malformed::UnknownClass(order.class.into()))?;
+        let tenant = self.catalogue.tenant(order.tenant);
+        let unknown = || Malformed::UnknownTenant(order.tenant.unwrap_or_default().into());
+        let tenant = tenant.ok_or_else(unknown)?;
+        if matches!(effect, Effect::Keyed(..)) && order.work.key.is_none() {
+            return Err(Malformed::MissingKey);
+        }
+        if order.time_left == Micros(0) {
+            return Err(Malformed::NoTimeLeft);
+        }
+        if self.table.unanswered() >= self.catalogue.max_open {
+            return Err(Malformed::TooMany);
+        }
+        let deadline = now + order.time_left;
+        let id = self.table.enter(order.work, deadline);
+        // After the attempts' time-outs, which let the dispatcher answer.
+        self.timers.add(deadline + BACKSTOP, Due::Deadline(id));
+        self.counts.taken += 1;
+        self.pending.push_back(Event::Job(Job {
+            id,
+            class,
+            tenant,
+            time_left: order.time_left,
+            cost_hint: order.cost_hint,
+            slots: order.slots,
+            memory: order.memory,
+        }));
+        self.decide(now);
+        Ok(id)
+    }
+}
--- /dev/null
+++ b/node/src/directory/mod.rs
@@ -0,0 +1,267 @@
+//! The directory: watches the list of workers, one call after the other, and turns it into the module's entries.
+
+use crate::clock::{millis, Clock};
+use crate::core::Core;
+use crate::net::http::{self, Body};
+use crate::net::{Net, Peer, Token};
+use marbledeck::{CellId, Entry, KindId, ListKind, Micros, State, WorkerId, ZoneId};
+use marbledeck_facts::worker_id;
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// How long a watch waits for a change. A silent directory is noticed after this and [`GRACE`].
+const WATCH: Micros = millis(10_000);
+/// How much longer than its wait a call may take.
+const GRACE: Micros = millis(2_000);
+
+/// A list, or part of one, as the directory writes it.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Listing {
+    pub revision: u64,
+    #[serde(default)]
+    pub complete: bool,
+    #[serde(default)]
+    pub members: Vec<Member>,
+}
+
+/// A worker as the directory writes it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    pub id: String,
+    pub host_port: String,
+    #[serde(default)]
+    pub locality: String,
+    #[serde(default)]
+    pub flavor: String,
+    #[serde(default)]
+    pub cell: Option<u32>,
+    #[serde(default)]
+    pub phase: String,
+    #[serde(default)]
+    pub up_since_ms: u64,
+}
+
+/// Where a worker is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub name: String,
+    pub addr: SocketAddr,
+    started: Option<Micros>,
+}
+
+struct Call {
+    token: Token,
+    until: Micros,
+    head: Option<(http::ResponseHead, Body)>,
+    content: Vec<u8>,
+}
+
+pub struct Directory {
+    addr: SocketAddr,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    revision: u64,
+    places: HashMap<WorkerId, Place>,
+    call: Option<Call>,
+    /// An open connection between two calls.
+    idle: Option<Token>,
+    /// Workers whose connections are of no more use: gone, moved or started anew.
+    pub stale: Vec<WorkerId>,
+}
+
+impl Directory {
+    pub fn new(addr: SocketAddr, zones: Vec<String>, kinds: Vec<String>) -> Self {
+        Directory {
+            addr,
+            zones,
+            kinds,
+            revision: 0,
+            places: HashMap::new(),
+            call: None,
+            idle: None,
+            stale: Vec::new(),
+        }
+    }
+
+    pub fn place(&self, worker: WorkerId) -> Option<&Place> {
+        self.places.get(&worker)
+    }
+
+    /// Starts from the list that this node last had; it may be old.
+    pub fn known(&mut self, now: Micros, listing: Listing, core: &mut Core) {
+        self.revision = listing.revision;
+        let entries = self.learn(true, listing.members);
+        core.listed(now, ListKind::Cached, entries);
+    }
+
+    /// When [`Directory::wake`] is next wanted.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.call.as_ref().map(|call| call.until)
+    }
+
+    pub fn wake(&mut self, now: Micros, net: &mut Net, core: &mut Core) {
+        if self.next_wake().is_some_and(|until| until <= now) {
+            self.fail(now, "no answer in time", net, core);
+        }
+    }
+
+    /// Begins to watch, unless it does already.
+    pub fn watch(&mut self, now: Micros, net: &mut Net, core: &mut Core) {
+        if self.call.is_some() {
+            return;
+        }
+        let idle = self.idle.take().filter(|token| net.is_quiet(*token));
+        let token = match idle.map_or_else(|| net.connect(self.addr, Peer::Directory), Ok) {
+            Ok(token) => token,
+            Err(e) => return self.fail(now, &e.to_string(), net, core),
+        };
+        let request = format!(
+            "GET /v1/endpoints?after={}&wait_ms={} HTTP/1.1\r\nHost: {}\r\n\r\n",
+            self.revision,
+            WATCH.0 / 1000,
+            self.addr
+        );
+        self.call = Some(Call {
+            token,
+            until: now + WATCH + GRACE,
+            head: None,
+            content: Vec::new(),
+        });
+        if !net.write(token, request.as_bytes()) {
+            self.fail(now, "the request does not fit", net, core);
+        }
+    }
+
+    /// Something has come from the directory.
+    pub fn ready(&mut self, now: Micros, token: Token, net: &mut Net, core: &mut Core) {
+        if self.call.as_ref().is_none_or(|call| call.token != token) {
+            self.idle = self.idle.filter(|idle| *idle != token);
+            return net.close(token);
+        }
+        match self.read(token, net) {
+            Ok(None) => {}
+            Ok(Some(listing)) => {
+                self.told(now, listing, core);
+                // A watch goes on only where the next call comes soon after the answer: now.
+                self.watch(now, net, core);
+            }
+            Err(what) => self.fail(now, &what, net, core),
+        }
+    }
+
+    /// The listing, once it has wholly come.
+    fn read(&mut self, token: Token, net: &mut Net) -> Result<Option<Listing>, String> {
+        let (Some(call), Some(conn)) = (&mut self.call, net.get(token)) else {
+            return Ok(None);
+        };
+        if call.head.is_none() {
+            let head = http::response_head(conn.input.all()).map_err(|e| e.to_string())?;
+            if let Some((head, used)) = head {
+                conn.input.consume(used);
+                if head.status != 200 {
+                    return Err(format!("status {}", head.status));
+                }
+                let body = Body::of_response(&head).map_err(|e| e.to_string())?;
+                call.head = Some((head, body));
+            }
+        }
+        if let Some((head, body)) = &mut call.head {
+            let bytes = conn.input.all();
+            let used = body.take(bytes, &mut call.content);
+            conn.input.consume(used.map_err(|e| e.to_string())?);
+            let over = conn.eof && body.ends_with_connection();
+            if body.is_done() || over {
+                let reusable = head.keep_alive && conn.is_open() && conn.input.is_empty();
+                let listing = serde_json::from_slice(&call.content).map_err(|e| e.to_string())?;
+                self.call = None;
+                if reusable {
+                    self.idle = Some(token);
+                } else {
+                    net.close(token);
+                }
+                return Ok(Some(listing));
+            }
+        }
+        match conn.eof || conn.broken {
+            true => Err("the connection broke".to_owned()),
+            false => Ok(None),
+        }
+    }
+
+    fn told(&mut self, now: Micros, listing: Listing, core: &mut Core) {
+        self.revision = listing.revision;
+        let kind = match listing.complete {
+            true => ListKind::Full,
+            false => ListKind::Delta,
+        };
+        let entries = self.learn(listing.complete, listing.members);
+        core.listed(now, kind, entries);
+    }
+
+    /// The call has failed: the list stays, and the dispatcher says when to ask again.
+    fn fail(&mut self, now: Micros, what: &str, net: &mut Net, core: &mut Core) {
+        log::warn!("directory: {what}");
+        if let Some(call) = self.call.take() {
+            net.close(call.token);
+        }
+        core.listed(now, ListKind::Failed, Vec::new());
+    }
+
+    fn learn(&mut self, complete: bool, members: Vec<Member>) -> Vec<Entry> {
+        let ids: Vec<WorkerId> = members.iter().map(|m| worker_id(&m.id)).collect();
+        if complete {
+            let absent = self.places.keys().filter(|id| !ids.contains(id));
+            self.stale.extend(absent);
+            self.places.retain(|id, _| ids.contains(id));
+        }
+        let mut entries = Vec::with_capacity(members.len());
+        for (worker, member) in ids.into_iter().zip(members) {
+            entries.push(self.entry(worker, member));
+        }
+        entries
+    }
+
+    /// One line of the list.
+    fn entry(&mut self, worker: WorkerId, member: Member) -> Entry {
+        let mut state = match member.phase.as_str() {
+            "up" => State::Ready,
+            "removed" => State::Gone,
+            // An unknown phase is no invitation to send there.
+            _ => State::Draining,
+        };
+        let started = Clock::from_unix_ms(member.up_since_ms);
+        let addr = member.host_port.parse();
+        match (addr, state) {
+            (_, State::Gone) => {
+                self.places.remove(&worker);
+                self.stale.push(worker);
+            }
+            (Ok(addr), _) => {
+                let place = Place {
+                    name: member.id,
+                    addr,
+                    started,
+                };
+                let old = self.places.insert(worker, place.clone());
+                if old.is_some_and(|old| old != place) {
+                    self.stale.push(worker);
+                }
+            }
+            (Err(_), _) => {
+                // It cannot be sent to, and what is known of its state still counts.
+                log::warn!("directory: '{}' is no address", member.host_port);
+                state = State::Draining;
+            }
+        }
+        let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        Entry {
+            worker,
+            state,
+            zone: ZoneId(position(&self.zones, &member.locality).map_or(u32::MAX, |i| i as u32)),
+            kind: KindId(position(&self.kinds, &member.flavor).map_or(u32::MAX, |i| i as u32)),
+            cell: member.cell.map(CellId),
+            started,
+        }
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,1 +1,13 @@
+//! The marbledeck node: the decisions of the module `marbledeck`, served on real sockets.
+#![forbid(unsafe_code)]
 
+pub mod clock;
+pub mod config;
+mod consumers;
+pub mod core;
+mod directory;
+pub mod logger;
+mod net;
+pub mod node;
+mod submission;
+mod workers;
--- /dev/null
+++ b/node/src/net/mod.rs
@@ -0,0 +1,348 @@
+//! The loop's sockets: one epoll, the listeners, the connections and what each is waiting for.
+
+pub mod conn;
+pub mod http;
+pub mod ring;
+
+use crate::clock::millis;
+use conn::{Connection, State};
+use marbledeck::Micros;
+use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
+use rustix::event::Timespec;
+use rustix::fd::OwnedFd;
+use rustix::io::Errno;
+use rustix::net::{sockopt, AddressFamily, Shutdown, SocketFlags, SocketType};
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+
+/// Events handled in one turn; the rest come in the next, after the timers.
+const EVENTS: usize = 128;
+/// How long a closed connection drops what still comes.
+const LINGER: Micros = millis(1000);
+/// A direction of a connection holds a body of 64 KiB with its head, or a result of that size escaped.
+const RING: usize = 192 * 1024;
+
+/// A socket of the loop; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Token(u64);
+
+impl Token {
+    fn index(self) -> usize {
+        (self.0 & 0xffff_ffff) as usize
+    }
+}
+
+/// Who is at the other end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Peer {
+    Consumer,
+    Worker,
+    Directory,
+    Signal,
+}
+
+enum Socket {
+    Listener(OwnedFd),
+    Signal(OwnedFd),
+    Stream(Box<Connection>),
+}
+
+impl Socket {
+    fn fd(&self) -> &OwnedFd {
+        match self {
+            Socket::Listener(fd) | Socket::Signal(fd) => fd,
+            Socket::Stream(conn) => &conn.fd,
+        }
+    }
+}
+
+struct Slot {
+    token: Token,
+    peer: Peer,
+    socket: Socket,
+}
+
+/// A socket on which something has happened. Connections have been read and written as far as they go.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    pub token: Token,
+    pub peer: Peer,
+    pub listener: bool,
+}
+
+pub struct Net {
+    epoll: OwnedFd,
+    slots: Vec<Option<Slot>>,
+    free: Vec<usize>,
+    next: u64,
+    touched: Vec<Token>,
+    lingering: VecDeque<(Micros, Token)>,
+}
+
+impl Net {
+    pub fn new() -> io::Result<Self> {
+        Ok(Net {
+            epoll: epoll::create(CreateFlags::CLOEXEC)?,
+            slots: Vec::new(),
+            free: Vec::new(),
+            next: 1,
+            touched: Vec::new(),
+            lingering: VecDeque::new(),
+        })
+    }
+
+    fn enter(&mut self, peer: Peer, socket: Socket) -> io::Result<Token> {
+        let index = self.free.last().copied().unwrap_or(self.slots.len());
+        let token = Token(self.next << 32 | index as u64);
+        let interest = match &socket {
+            Socket::Stream(conn) => conn.wanted(),
+            _ => EventFlags::IN,
+        };
+        let mut socket = socket;
+        if let Socket::Stream(conn) = &mut socket {
+            conn.interest = interest;
+        }
+        epoll::add(
+            &self.epoll,
+            socket.fd(),
+            EventData::new_u64(token.0),
+            interest,
+        )?;
+        self.next = (self.next + 1) & 0xffff_ffff;
+        self.free.pop();
+        let slot = Some(Slot {
+            token,
+            peer,
+            socket,
+        });
+        match self.slots.get_mut(index) {
+            Some(place) => *place = slot,
+            None => self.slots.push(slot),
+        }
+        Ok(token)
+    }
+
+    fn slot(&mut self, token: Token) -> Option<&mut Slot> {
+        let slot = self.slots.get_mut(token.index())?.as_mut();
+        slot.filter(|slot| slot.token == token)
+    }
+
+    /// Listens on this address only; tells the one in fact used.
+    pub fn listen(&mut self, addr: SocketAddr, peer: Peer) -> io::Result<(Token, SocketAddr)> {
+        let fd = stream_socket(addr)?;
+        sockopt::set_socket_reuseaddr(&fd, true)?;
+        rustix::net::bind(&fd, &addr)?;
+        rustix::net::listen(&fd, 1024)?;
+        let bound = rustix::net::getsockname(&fd)?;
+        let bound = SocketAddr::try_from(bound).unwrap_or(addr);
+        Ok((self.enter(peer, Socket::Listener(fd))?, bound))
+    }
+
+    /// Watches the reading end of the signals' pipe.
+    pub fn signals(&mut self, fd: OwnedFd) -> io::Result<Token> {
+        self.enter(Peer::Signal, Socket::Signal(fd))
+    }
+
+    /// Takes the next connection that waits at a listener, if any.
+    pub fn accept(&mut self, listener: Token) -> io::Result<Option<Token>> {
+        let Some(Slot {
+            peer,
+            socket: Socket::Listener(fd),
+            ..
+        }) = self.slot(listener)
+        else {
+            return Ok(None);
+        };
+        let peer = *peer;
+        let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+        let fd = match rustix::net::accept_with(fd, flags) {
+            Ok(fd) => fd,
+            Err(Errno::AGAIN | Errno::CONNABORTED | Errno::INTR) => return Ok(None),
+            Err(e) => return Err(e.into()),
+        };
+        // Answers are small and wanted at once.
+        let _ = sockopt::set_tcp_nodelay(&fd, true);
+        let conn = Connection::new(fd, State::Open, RING);
+        self.enter(peer, Socket::Stream(Box::new(conn))).map(Some)
+    }
+
+    /// Whether a listener is to take connections; those that come meanwhile wait.
+    pub fn listening(&mut self, listener: Token, on: bool) {
+        let epoll = &self.epoll;
+        let slot = self.slots.get(listener.index()).and_then(Option::as_ref);
+        if let Some(slot) = slot.filter(|s| s.token == listener) {
+            let wanted = if on {
+                EventFlags::IN
+            } else {
+                EventFlags::empty()
+            };
+            let data = EventData::new_u64(listener.0);
+            let _ = epoll::modify(epoll, slot.socket.fd(), data, wanted);
+        }
+    }
+
+    /// Begins a connection.
+    pub fn connect(&mut self, addr: SocketAddr, peer: Peer) -> io::Result<Token> {
+        let fd = stream_socket(addr)?;
+        let _ = sockopt::set_tcp_nodelay(&fd, true);
+        let state = match rustix::net::connect(&fd, &addr) {
+            Ok(()) => State::Open,
+            Err(Errno::INPROGRESS) => State::Connecting,
+            Err(e) => return Err(e.into()),
+        };
+        let conn = Connection::new(fd, state, RING);
+        self.enter(peer, Socket::Stream(Box::new(conn)))
+    }
+
+    pub fn get(&mut self, token: Token) -> Option<&mut Connection> {
+        match &mut self.slot(token)?.socket {
+            Socket::Stream(conn) => Some(conn),
+            _ => None,
+        }
+    }
+
+    /// Whether an idle connection can still be written to.
+    pub fn is_quiet(&mut self, token: Token) -> bool {
+        self.get(token).is_some_and(|conn| conn.is_quiet())
+    }
+
+    /// Sends these bytes as soon as the socket takes them; false where they go beyond the cap.
+    #[must_use]
+    pub fn write(&mut self, token: Token, bytes: &[u8]) -> bool {
+        let pushed = self.get(token).is_some_and(|conn| conn.output.push(bytes));
+        self.touch(token);
+        pushed
+    }
+
+    /// To be called when input was taken from a connection, so that more is read.
+    pub fn touch(&mut self, token: Token) {
+        self.touched.push(token);
+    }
+
+    /// Closes a connection at once.
+    pub fn close(&mut self, token: Token) {
+        if self.slot(token).is_some() {
+            // Closing the only descriptor takes it out of the epoll.
+            self.slots[token.index()] = None;
+            self.free.push(token.index());
+        }
+    }
+
+    /// Closes a connection when all is written. Nothing more is told of it.
+    pub fn finish(&mut self, token: Token) {
+        if let Some(conn) = self.get(token) {
+            conn.closing = true;
+            self.touch(token);
+        }
+    }
+
+    /// Writes out and waits anew where something was written, read or closed since the last time.
+    pub fn settle(&mut self, now: Micros) {
+        for token in std::mem::take(&mut self.touched) {
+            self.renew(now, token);
+        }
+        while let Some((_, token)) = self.lingering.pop_front_if(|(until, _)| *until <= now) {
+            self.close(token);
+        }
+    }
+
+    fn renew(&mut self, now: Micros, token: Token) {
+        let Some(conn) = self.get(token) else {
+            return;
+        };
+        conn.flush();
+        let done = conn.output.is_empty() || conn.broken;
+        if conn.closing && conn.state != State::Lingering && done {
+            if conn.broken || conn.eof {
+                return self.close(token);
+            }
+            let _ = rustix::net::shutdown(&conn.fd, Shutdown::Write);
+            conn.state = State::Lingering;
+            conn.input.consume(usize::MAX);
+            self.lingering.push_back((now + LINGER, token));
+        }
+        let Some(conn) = self.get(token) else {
+            return;
+        };
+        let wanted = conn.wanted();
+        if wanted != std::mem::replace(&mut conn.interest, wanted) {
+            let data = EventData::new_u64(token.0);
+            let slot = self.slots[token.index()].as_ref();
+            let fd = slot.map(|slot| slot.socket.fd());
+            if let Some(fd) = fd {
+                let _ = epoll::modify(&self.epoll, fd, data, wanted);
+            }
+        }
+    }
+
+    /// Waits until something happens, or so long; connections are read and written before they are told.
+    pub fn wait(&mut self, now: Micros, until: Option<Micros>, ready: &mut Vec<Ready>) {
+        let linger = self.lingering.front().map(|(until, _)| *until);
+        let until = [until, linger].into_iter().flatten().min();
+        let span = until.map(|until| until - now);
+        let timeout = span.map(|span| Timespec {
+            tv_sec: (span.0 / 1_000_000) as i64,
+            tv_nsec: (span.0 % 1_000_000 * 1000) as i64,
+        });
+        let mut events = Vec::with_capacity(EVENTS);
+        let buffer = rustix::buffer::spare_capacity(&mut events);
+        if let Err(e) = epoll::wait(&self.epoll, buffer, timeout.as_ref()) {
+            if e != Errno::INTR {
+                log::error!("epoll: {e}");
+            }
+        }
+        for event in events {
+            let token = Token(event.data.u64());
+            let flags = event.flags;
+            self.pump(token, flags, ready);
+        }
+    }
+
+    fn pump(&mut self, token: Token, flags: EventFlags, ready: &mut Vec<Ready>) {
+        let Some(slot) = self.slot(token) else {
+            return;
+        };
+        let peer = slot.peer;
+        let Socket::Stream(conn) = &mut slot.socket else {
+            let listener = matches!(slot.socket, Socket::Listener(_));
+            return ready.push(Ready {
+                token,
+                peer,
+                listener,
+            });
+        };
+        if conn.state == State::Connecting {
+            conn.connected();
+        }
+        conn.flush();
+        conn.fill();
+        // Both directions are gone: without this, a full input would be told of again and again.
+        conn.broken |= flags.intersects(EventFlags::ERR | EventFlags::HUP);
+        if conn.state == State::Lingering || conn.closing {
+            if conn.broken || conn.eof && conn.output.is_empty() {
+                self.close(token);
+            } else {
+                self.touch(token);
+            }
+            return;
+        }
+        ready.push(Ready {
+            token,
+            peer,
+            listener: false,
+        });
+        self.touch(token);
+    }
+}
+
+fn stream_socket(addr: SocketAddr) -> io::Result<OwnedFd> {
+    let family = if addr.is_ipv4() {
+        AddressFamily::INET
+    } else {
+        AddressFamily::INET6
+    };
+    let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+    let fd = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+    Ok(fd)
+}
--- /dev/null
+++ b/node/src/node.rs
@@ -0,0 +1,193 @@
+//! The node: the core with its fronts and links round one loop.
+
+use crate::clock::{millis, Clock};
+use crate::config::Config;
+use crate::consumers::Consumers;
+use crate::core::{Command, Core};
+use crate::directory::Directory;
+use crate::net::{Net, Peer, Ready, Token};
+use crate::workers::{Figures, Workers};
+use marbledeck::Micros;
+use std::collections::HashSet;
+use std::io;
+use std::os::unix::net::UnixStream;
+
+/// For so long after SIGTERM new connections are taken: fronts notice with some delay.
+const ENDING: Micros = millis(1000);
+/// How often the counts are logged.
+const COUNTS: Micros = millis(10_000);
+
+pub struct Node {
+    clock: Clock,
+    net: Net,
+    core: Core,
+    consumers: Consumers,
+    workers: Workers,
+    directory: Directory,
+    signals: UnixStream,
+    /// When SIGTERM came.
+    ending: Option<Micros>,
+    closed: bool,
+    next_counts: Micros,
+}
+
+impl Node {
+    /// Listens, and starts from the list that the configuration has. `signals` becomes readable on SIGTERM.
+    pub fn new(config: Config, signals: UnixStream) -> io::Result<Self> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let mut net = Net::new()?;
+        let core = Core::new(config.settings, config.catalogue, config.seed, now);
+        let mut core = core.map_err(io::Error::other)?;
+        let consumers = Consumers::new(config.listen, config.most_consumers, &mut net)?;
+        let workers = Workers::new(Figures {
+            reads: config.reads,
+            reports: config.reports,
+            idle: config.idle,
+            connect_timeout: config.connect_timeout,
+            most: config.most_worker_connections,
+            by_submission: HashSet::new(),
+        });
+        let mut directory = Directory::new(config.directory, config.zones, config.kinds);
+        directory.known(now, config.known.unwrap_or_default(), &mut core);
+        signals.set_nonblocking(true)?;
+        net.signals(signals.try_clone()?.into())?;
+        log::info!("{} serves at {}", config.name, consumers.addr);
+        Ok(Node {
+            clock,
+            net,
+            core,
+            consumers,
+            workers,
+            directory,
+            signals,
+            ending: None,
+            closed: false,
+            next_counts: now + COUNTS,
+        })
+    }
+
+    /// Serves until it is told to end and nothing is open any more.
+    pub fn run(&mut self) {
+        let mut ready = Vec::new();
+        loop {
+            let now = self.clock.now();
+            self.settle(now);
+            if self.is_over(now) {
+                log::info!("ended: {}", self.core.counts());
+                return;
+            }
+            self.net
+                .wait(self.clock.now(), self.next_wake(), &mut ready);
+            // Timers first: however much has come, they are punctual.
+            self.wake(self.clock.now());
+            for event in ready.drain(..) {
+                self.dispatch(event);
+            }
+        }
+    }
+
+    fn next_wake(&self) -> Option<Micros> {
+        let ending = self.ending.filter(|_| !self.closed).map(|at| at + ENDING);
+        [
+            self.core.next_wake(),
+            self.workers.next_wake(),
+            self.directory.next_wake(),
+            self.consumers.next_wake(),
+            ending,
+            Some(self.next_counts),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    fn wake(&mut self, now: Micros) {
+        self.core.wake(now);
+        self.workers.wake(now, &mut self.net, &mut self.core);
+        self.directory.wake(now, &mut self.net, &mut self.core);
+        self.consumers.wake(now, &mut self.net);
+        if now >= self.next_counts {
+            self.next_counts = now + COUNTS;
+            log::info!("{}", self.core.counts());
+        }
+    }
+
+    fn dispatch(&mut self, event: Ready) {
+        let (now, token) = (self.clock.now(), event.token);
+        match event.peer {
+            Peer::Consumer if event.listener => self.consumers.accept(now, &mut self.net),
+            Peer::Consumer => self
+                .consumers
+                .ready(now, token, &mut self.net, &mut self.core),
+            Peer::Worker => self
+                .workers
+                .ready(now, token, &mut self.net, &mut self.core),
+            Peer::Directory => self
+                .directory
+                .ready(now, token, &mut self.net, &mut self.core),
+            Peer::Signal => self.end(now, token),
+        }
+        self.carry_out(now);
+    }
+
+    /// SIGTERM: what is open is finished, and what still comes is served.
+    fn end(&mut self, now: Micros, _token: Token) {
+        let mut drained = [0u8; 16];
+        while matches!(io::Read::read(&mut self.signals, &mut drained), Ok(n) if n > 0) {}
+        if self.ending.is_none() {
+            log::info!("ending");
+            self.ending = Some(now);
+            self.consumers.ending = true;
+        }
+    }
+
+    fn is_over(&mut self, now: Micros) -> bool {
+        let due = self.ending.is_some_and(|at| now >= at + ENDING);
+        if due && !std::mem::replace(&mut self.closed, true) {
+            self.consumers.close_idle(&mut self.net);
+        }
+        due && self.consumers.is_idle() && self.core.idle()
+    }
+
+    /// Carries out what the core wants done, writes it out and waits anew.
+    fn settle(&mut self, now: Micros) {
+        self.carry_out(now);
+        self.net.settle(now);
+    }
+
+    fn carry_out(&mut self, now: Micros) {
+        let (net, core) = (&mut self.net, &mut self.core);
+        loop {
+            for worker in std::mem::take(&mut self.directory.stale) {
+                self.workers.forget(worker, net);
+            }
+            let Some(command) = core.command() else {
+                return;
+            };
+            match command {
+                Command::Call {
+                    id,
+                    attempt,
+                    worker,
+                    work,
+                    until,
+                } => {
+                    let place = self.directory.place(worker);
+                    self.workers
+                        .call(now, (id, attempt), worker, place, &work, until, net, core);
+                }
+                Command::GiveUp { id, attempt } => self.workers.give_up(id, attempt, net),
+                Command::Probe(worker) => {
+                    let place = self.directory.place(worker);
+                    self.workers.probe(now, worker, place, net, core);
+                }
+                Command::Watch => self.directory.watch(now, net, core),
+                Command::Answer { id, verdict, .. } => {
+                    self.consumers.answer(now, id, &verdict, net, core);
+                }
+                Command::Running(_) => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/submission/calls.rs
@@ -0,0 +1,112 @@
+//! Invoker calls by submission: this node is the submitter, and a worker runs the job. `docs/submission.md` has
+//! the protocol, and the outcomes are those of the platform's.
+
+use super::frame;
+use crate::core::Work;
+use crate::net::conn::Connection;
+use crate::workers::outcomes::{End, News};
+use crate::workers::report_from_value;
+use base64::prelude::{Engine, BASE64_STANDARD};
+use marbledeck::{Micros, Outcome};
+use marbledeck_facts::Reads;
+use serde_json::{json, Value};
+
+/// The longest line of a worker: a result with its escapes.
+const MAX_LINE: usize = 160 * 1024;
+
+/// The line that hands a job over.
+pub fn request(work: &Work, remaining: Micros) -> Vec<u8> {
+    let mut template = json!({
+        "jobName": work.txn,
+        "remoteCommand": work.target,
+        "deadlineMs": remaining.0.div_ceil(1000),
+    });
+    match std::str::from_utf8(&work.body) {
+        Ok(text) => template["input"] = text.into(),
+        Err(_) => template["inputBase64"] = BASE64_STANDARD.encode(&work.body).into(),
+    }
+    if let Some(key) = &work.key {
+        template["submissionKey"] = key.as_str().into();
+    }
+    let run = json!({"op": "runJob", "seq": work.txn, "notify": true, "template": template});
+    frame::line(&run)
+}
+
+/// A job handed to a worker, and what the worker tells of it.
+pub struct Submitted {
+    seq: String,
+    reads: Reads,
+    /// The worker's id of the job, once it has taken it.
+    job: Option<String>,
+    ended: bool,
+}
+
+impl Submitted {
+    pub fn new(seq: &str, reads: Reads) -> Self {
+        Submitted {
+            seq: seq.to_owned(),
+            reads,
+            job: None,
+            ended: false,
+        }
+    }
+
+    /// Takes what has come on the connection.
+    pub fn read(&mut self, conn: &mut Connection) -> News {
+        let mut news = News::default();
+        while !self.ended {
+            let end = match frame::next(&mut conn.input, MAX_LINE) {
+                Ok(None) => break,
+                Ok(Some(line)) if line.trim_ascii().is_empty() => None,
+                Ok(Some(line)) => self.line(&line, &mut news),
+                Err(frame::TooLong) => Some(End::of(Outcome::Error, None)),
+            };
+            if end.is_some() {
+                self.ended = true;
+                news.over = Some(conn.is_open() && conn.input.is_empty());
+                news.end = end;
+            }
+        }
+        news
+    }
+
+    /// The end that a line tells, if any. What is not of this job is dropped: a line of an earlier one may
+    /// still come.
+    fn line(&mut self, line: &[u8], news: &mut News) -> Option<End> {
+        let Ok(value) = serde_json::from_slice::<Value>(line) else {
+            return Some(End::of(Outcome::Error, None));
+        };
+        let text = |name: &str| value.get(name).and_then(Value::as_str);
+        let load = value.get("load");
+        let load = load.and_then(|load| report_from_value(self.reads, load));
+        if text("seq") == Some(&self.seq) {
+            // Not taken: tried later or denied, it has never run.
+            match text("error") {
+                Some("TRY_LATER" | "DENIED_BY_DRMS") => return Some(End::of(Outcome::Full, load)),
+                Some(_) => return Some(End::of(Outcome::Error, load)),
+                None => self.job = text("jobId").map(str::to_owned),
+            }
+            return None;
+        }
+        if self.job.is_none() || text("jobId") != self.job.as_deref() {
+            return None;
+        }
+        match (text("jobState")?, text("jobSubState")) {
+            ("RUNNING", _) => {
+                news.started = true;
+                None
+            }
+            ("DONE", _) => Some(match text("result") {
+                Some(result) => End {
+                    result: Some(result.as_bytes().to_vec()),
+                    ..End::of(Outcome::Ok, load)
+                },
+                None => End::of(Outcome::Error, load),
+            }),
+            ("REQUEUED", _) | ("FAILED", Some("returned")) => Some(End::of(Outcome::Full, load)),
+            ("FAILED", Some("lost")) => Some(End::of(Outcome::Reset, load)),
+            ("FAILED", _) => Some(End::of(Outcome::Error, load)),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/node/src/workers/mod.rs
@@ -0,0 +1,367 @@
+//! The links to the workers: a pool of connections, one call or probe at a time on each.
+
+pub mod outcomes;
+mod report;
+
+pub use report::from_value as report_from_value;
+
+use crate::clock::millis;
+use crate::core::{Core, Work};
+use crate::directory::Place;
+use crate::net::{Net, Peer, Token};
+use crate::submission::calls::{self, Submitted};
+use marbledeck::{Micros, Outcome, RequestId, WorkerId};
+use marbledeck_facts::Reads;
+use outcomes::{Answer, End, News};
+use std::collections::{BTreeSet, HashMap, HashSet};
+
+/// A worker that has not answered a probe by then is not well.
+const PROBE: Micros = millis(500);
+/// How long a connection may take to carry the rest of an answer that has been decided.
+const TAIL: Micros = millis(1000);
+
+/// What a connection is carrying.
+enum Errand {
+    Call(RequestId, u32),
+    Probe,
+    /// Decided, but not wholly read.
+    Tail,
+    Idle,
+}
+
+/// How a worker is spoken to.
+enum Speech {
+    Http(Answer),
+    Submission(Submitted),
+}
+
+impl Speech {
+    fn read(&mut self, conn: &mut crate::net::conn::Connection) -> News {
+        match self {
+            Speech::Http(answer) => answer.read(conn),
+            Speech::Submission(submitted) => submitted.read(conn),
+        }
+    }
+}
+
+struct Link {
+    worker: WorkerId,
+    errand: Errand,
+    speech: Option<Speech>,
+    /// When something is to be done about it: connected, probed or idle for too long.
+    due: Option<Micros>,
+}
+
+pub struct Figures {
+    pub reads: Reads,
+    pub reports: bool,
+    /// Workers close a connection that has been idle for so long.
+    pub idle: Micros,
+    pub connect_timeout: Micros,
+    pub most: usize,
+    /// The workers that are spoken to by submission.
+    pub by_submission: HashSet<WorkerId>,
+}
+
+pub struct Workers {
+    figures: Figures,
+    links: HashMap<Token, Link>,
+    calls: HashMap<(RequestId, u32), Token>,
+    /// Idle connections, the last used at the end.
+    idle: HashMap<WorkerId, Vec<Token>>,
+    due: BTreeSet<(Micros, Token)>,
+}
+
+impl Workers {
+    pub fn new(figures: Figures) -> Self {
+        Workers {
+            figures,
+            links: HashMap::new(),
+            calls: HashMap::new(),
+            idle: HashMap::new(),
+            due: BTreeSet::new(),
+        }
+    }
+
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.due.first().map(|(at, _)| *at)
+    }
+
+    /// Makes an invoker call. One that cannot even be begun could not connect.
+    #[allow(clippy::too_many_arguments)]
+    pub fn call(
+        &mut self,
+        now: Micros,
+        (id, attempt): (RequestId, u32),
+        worker: WorkerId,
+        place: Option<&Place>,
+        work: &Work,
+        until: Micros,
+        net: &mut Net,
+        core: &mut Core,
+    ) {
+        let by_submission = self.figures.by_submission.contains(&worker);
+        let sent = place.is_some_and(|place| {
+            let remaining = until - now;
+            let (bytes, speech) = if by_submission {
+                let submitted = Submitted::new(&work.txn, self.figures.reads);
+                (
+                    calls::request(work, remaining),
+                    Speech::Submission(submitted),
+                )
+            } else {
+                let answer = Answer::new(Some(work.txn.clone()), self.figures.reads);
+                let bytes = outcomes::request(work, &place.addr.to_string(), remaining);
+                (bytes, Speech::Http(answer))
+            };
+            let errand = Errand::Call(id, attempt);
+            self.say(now, worker, place, errand, speech, &bytes, net)
+        });
+        if !sent {
+            core.call_ended(now, id, attempt, Outcome::ConnectFailed, None, None);
+        }
+    }
+
+    /// Asks a worker for its load. One spoken to by submission has no such question and is told as well.
+    pub fn probe(
+        &mut self,
+        now: Micros,
+        worker: WorkerId,
+        place: Option<&Place>,
+        net: &mut Net,
+        core: &mut Core,
+    ) {
+        if self.figures.by_submission.contains(&worker) {
+            return core.probed(now, worker, Outcome::Ok, None);
+        }
+        let sent = place.is_some_and(|place| {
+            let bytes = outcomes::probe(&place.addr.to_string(), self.figures.reports);
+            let speech = Speech::Http(Answer::new(None, self.figures.reads));
+            self.say(now, worker, place, Errand::Probe, speech, &bytes, net)
+        });
+        if !sent {
+            core.probed(now, worker, Outcome::ConnectFailed, None);
+        }
+    }
+
+    /// Puts a request on an idle connection, or on a new one.
+    #[allow(clippy::too_many_arguments)]
+    fn say(
+        &mut self,
+        now: Micros,
+        worker: WorkerId,
+        place: &Place,
+        errand: Errand,
+        speech: Speech,
+        bytes: &[u8],
+        net: &mut Net,
+    ) -> bool {
+        let Some(token) = self.connection(now, worker, place, net) else {
+            return false;
+        };
+        if !net.write(token, bytes) {
+            self.drop_link(token, net);
+            return false;
+        }
+        let connecting = net.get(token).is_some_and(|conn| conn.is_connecting());
+        let due = match errand {
+            _ if connecting => Some(now + self.figures.connect_timeout),
+            Errand::Probe => Some(now + PROBE),
+            _ => None,
+        };
+        if let Errand::Call(id, attempt) = errand {
+            self.calls.insert((id, attempt), token);
+        }
+        let link = Link {
+            worker,
+            errand,
+            speech: Some(speech),
+            due: None,
+        };
+        self.links.insert(token, link);
+        self.set_due(token, due);
+        true
+    }
+
+    fn connection(
+        &mut self,
+        now: Micros,
+        worker: WorkerId,
+        place: &Place,
+        net: &mut Net,
+    ) -> Option<Token> {
+        while let Some(token) = self.idle.get_mut(&worker).and_then(Vec::pop) {
+            // It may be due to be closed, or closed by the worker a moment ago.
+            let fresh = self
+                .links
+                .get(&token)
+                .is_some_and(|l| l.due.is_some_and(|due| now < due));
+            self.set_due(token, None);
+            if fresh && net.is_quiet(token) {
+                return Some(token);
+            }
+            self.drop_link(token, net);
+        }
+        if self.links.len() >= self.figures.most {
+            // The connection that has been idle for longest makes room.
+            let oldest = self
+                .links
+                .iter()
+                .filter(|(_, l)| matches!(l.errand, Errand::Idle));
+            let oldest = oldest.min_by_key(|(_, l)| l.due).map(|(token, _)| *token)?;
+            self.drop_link(oldest, net);
+        }
+        let token = net.connect(place.addr, Peer::Worker);
+        token
+            .inspect_err(|e| log::debug!("{}: {e}", place.name))
+            .ok()
+    }
+
+    fn set_due(&mut self, token: Token, due: Option<Micros>) {
+        let Some(link) = self.links.get_mut(&token) else {
+            return;
+        };
+        if let Some(old) = std::mem::replace(&mut link.due, due) {
+            self.due.remove(&(old, token));
+        }
+        self.due.extend(due.map(|due| (due, token)));
+    }
+
+    fn drop_link(&mut self, token: Token, net: &mut Net) -> Option<Link> {
+        self.set_due(token, None);
+        let link = self.links.remove(&token);
+        if let Some(link) = &link {
+            match link.errand {
+                Errand::Call(id, attempt) => drop(self.calls.remove(&(id, attempt))),
+                Errand::Idle => {
+                    if let Some(idle) = self.idle.get_mut(&link.worker) {
+                        idle.retain(|t| *t != token);
+                    }
+                }
+                Errand::Probe | Errand::Tail => {}
+            }
+        }
+        net.close(token);
+        link
+    }
+
+    /// Stops waiting for a call: its connection is closed, which tells the worker.
+    pub fn give_up(&mut self, id: RequestId, attempt: u32, net: &mut Net) {
+        if let Some(token) = self.calls.get(&(id, attempt)).copied() {
+            self.drop_link(token, net);
+        }
+    }
+
+    /// The worker is gone, has moved or was started anew: its idle connections are of no use.
+    pub fn forget(&mut self, worker: WorkerId, net: &mut Net) {
+        for token in self.idle.remove(&worker).unwrap_or_default() {
+            self.drop_link(token, net);
+        }
+    }
+
+    /// Something has happened on a worker's connection.
+    pub fn ready(&mut self, now: Micros, token: Token, net: &mut Net, core: &mut Core) {
+        let (Some(link), Some(conn)) = (self.links.get_mut(&token), net.get(token)) else {
+            return net.close(token);
+        };
+        if let Errand::Idle = link.errand {
+            // Closed by the worker, or speaking unasked: of no use either way.
+            self.drop_link(token, net);
+            return;
+        }
+        let waited_to_connect = !conn.is_connecting();
+        let news = match &mut link.speech {
+            Some(speech) => speech.read(conn),
+            None => News::default(),
+        };
+        let broken = conn.broken || conn.eof;
+        let unsent = !conn.output.is_empty();
+        if waited_to_connect {
+            let due = match link.errand {
+                Errand::Call(..) => None,
+                _ => Some(link.due.unwrap_or(now + PROBE)),
+            };
+            self.set_due(token, due);
+        }
+        self.take(now, token, news, core);
+        let Some(link) = self.links.get(&token) else {
+            return;
+        };
+        if broken && !matches!(link.errand, Errand::Idle) {
+            // A request that did not wholly leave has not been taken up; one that did may have run.
+            let outcome = if unsent {
+                Outcome::ConnectFailed
+            } else {
+                Outcome::Reset
+            };
+            self.broke(now, token, outcome, net, core);
+        } else if broken {
+            self.drop_link(token, net);
+        }
+    }
+
+    fn take(&mut self, now: Micros, token: Token, news: News, core: &mut Core) {
+        let Some(link) = self.links.get_mut(&token) else {
+            return;
+        };
+        let (worker, errand) = (link.worker, &link.errand);
+        if let (true, Errand::Call(id, attempt)) = (news.started, errand) {
+            core.call_started(now, *id, *attempt);
+        }
+        if let Some(end) = news.end {
+            let errand = std::mem::replace(&mut link.errand, Errand::Tail);
+            self.set_due(token, Some(now + TAIL));
+            self.end(now, worker, errand, end, core);
+        }
+        match news.over {
+            Some(true) => {
+                // Well before the worker closes it: a request that crosses that would be lost.
+                let idle = self.figures.idle.0 / 2;
+                self.set_due(token, Some(now + Micros(idle)));
+                if let Some(link) = self.links.get_mut(&token) {
+                    (link.errand, link.speech) = (Errand::Idle, None);
+                }
+                self.idle.entry(worker).or_default().push(token);
+            }
+            Some(false) => self.set_due(token, Some(now)),
+            None => {}
+        }
+    }
+
+    fn end(&mut self, now: Micros, worker: WorkerId, errand: Errand, end: End, core: &mut Core) {
+        match errand {
+            Errand::Call(id, attempt) => {
+                self.calls.remove(&(id, attempt));
+                core.call_ended(now, id, attempt, end.outcome, end.result, end.report);
+            }
+            Errand::Probe => core.probed(now, worker, end.outcome, end.report),
+            Errand::Tail | Errand::Idle => {}
+        }
+    }
+
+    fn broke(
+        &mut self,
+        now: Micros,
+        token: Token,
+        outcome: Outcome,
+        net: &mut Net,
+        core: &mut Core,
+    ) {
+        if let Some(link) = self.drop_link(token, net) {
+            self.end(now, link.worker, link.errand, End::of(outcome, None), core);
+        }
+    }
+
+    /// Handles what is due: connects and probes that took too long, and connections idle for too long.
+    pub fn wake(&mut self, now: Micros, net: &mut Net, core: &mut Core) {
+        while let Some((_, token)) = self.due.first().copied().filter(|(at, _)| *at <= now) {
+            let connecting = net.get(token).is_some_and(|conn| conn.is_connecting());
+            let outcome = if connecting {
+                Outcome::ConnectFailed
+            } else {
+                Outcome::TimedOut
+            };
+            self.broke(now, token, outcome, net, core);
+        }
+    }
+}
