Add the DRMAA-style submission front, its worker link and recorded exchanges

The front hands jobs to the same core as the HTTP consumers: bulk jobs, waits, notifications, termination, keys. Seen while the exchanges were recorded: answers to submissions came behind those of later requests of the same read, since a submission is answered only when the core has had its say. Checked: one line a turn was fine, a burst was not.

--- a/node/src/core/admit.rs
+++ b/node/src/core/admit.rs
@@ -13,14 +13,17 @@
         self.finish(id, Verdict::Failed);
     }
 
-    /// The consumer has left: no answer is owed any more. Calls that are out come back as they will.
-    pub fn gone(&mut self, now: Micros, id: RequestId) {
+    /// The consumer has left: no answer is owed any more. Calls that are out come back as they will. Tells the
+    /// last send that may have run.
+    pub fn gone(&mut self, now: Micros, id: RequestId) -> Option<Micros> {
+        let sent = self.table.get(id).and_then(|i| i.last_sent());
         if self.table.answer(id) {
             self.counts.gone += 1;
             self.pending.push_back(Event::Gone(id));
             self.table.forget(id);
             self.decide(now);
         }
+        sent
     }
 
     /// Guards the rule that nothing taken is lost: the attempts' time-outs, due before, have let the dispatcher
--- a/node/src/core/take_in.rs
+++ b/node/src/core/take_in.rs
@@ -3,7 +3,7 @@
 use super::timers::Due;
 use super::{Core, Work};
 use crate::clock::millis;
-use marbledeck::{ClassId, Effect, Event, Job, Micros, RequestId, Settings, TenantId};
+use marbledeck::{Class, ClassId, Effect, Event, Job, Micros, RequestId, Settings, TenantId};
 use marbledeck_facts::Facts;
 use std::fmt;
 
@@ -45,10 +45,10 @@
     }
 }
 
-/// The names of classes and tenants, and which classes carry a key.
+/// The classes and tenants by their names.
 #[derive(Clone, Debug, Default)]
 pub struct Catalogue {
-    classes: Vec<(String, Effect)>,
+    classes: Vec<(String, Class)>,
     tenants: Vec<String>,
     max_open: usize,
 }
@@ -56,18 +56,18 @@
 impl Catalogue {
     pub fn new(facts: &Facts, settings: &Settings) -> Self {
         let names = facts.profiles.iter().map(|p| p.name.clone());
-        let effects = settings.classes.iter().map(|c| c.effect);
+        let classes = settings.classes.iter().cloned();
         Catalogue {
-            classes: names.zip(effects).collect(),
+            classes: names.zip(classes).collect(),
             tenants: facts.tenants.iter().map(|t| t.name.clone()).collect(),
             max_open: facts.bounds.max_open.map_or(usize::MAX, |n| n as usize),
         }
     }
 
-    /// The position of a class, and what repeating does there.
-    pub fn class(&self, name: &str) -> Option<(ClassId, Effect)> {
+    /// The position of a class, and what it is.
+    pub fn class(&self, name: &str) -> Option<(ClassId, &Class)> {
         let at = self.classes.iter().position(|(known, _)| known == name)?;
-        Some((ClassId(at as u32), self.classes[at].1))
+        Some((ClassId(at as u32), &self.classes[at].1))
     }
 
     /// The position of a tenant; sites without tenants take any name.
@@ -87,11 +87,11 @@
     /// Takes an order in. From here on it gets exactly one final answer.
     pub fn take_in(&mut self, now: Micros, order: Order) -> Result<RequestId, Malformed> {
         let class = self.catalogue.class(order.class);
-        let (class, effect) = class.ok_or_else(|| Malformed::UnknownClass(order.class.into()))?;
+        let (class, figures) = class.ok_or_else(|| Malformed::UnknownClass(order.class.into()))?;
         let tenant = self.catalogue.tenant(order.tenant);
         let unknown = || Malformed::UnknownTenant(order.tenant.unwrap_or_default().into());
         let tenant = tenant.ok_or_else(unknown)?;
-        if matches!(effect, Effect::Keyed(..)) && order.work.key.is_none() {
+        if matches!(figures.effect, Effect::Keyed(..)) && order.work.key.is_none() {
             return Err(Malformed::MissingKey);
         }
         if order.time_left == Micros(0) {
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -39,6 +39,7 @@
     Consumer,
     Worker,
     Directory,
+    Submitter,
     Signal,
 }
 
@@ -237,6 +238,15 @@
         }
     }
 
+    /// Whether all answers on connections that are being closed are out.
+    pub fn is_flushed(&self) -> bool {
+        let unsent = |slot: &Slot| match &slot.socket {
+            Socket::Stream(conn) => conn.closing && !conn.output.is_empty(),
+            _ => false,
+        };
+        !self.slots.iter().flatten().any(unsent)
+    }
+
     /// Writes out and waits anew where something was written, read or closed since the last time.
     pub fn settle(&mut self, now: Micros) {
         for token in std::mem::take(&mut self.touched) {
--- a/node/src/net/ring.rs
+++ b/node/src/net/ring.rs
@@ -21,6 +21,10 @@
         }
     }
 
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,14 +1,15 @@
 //! The node: the core with its fronts and links round one loop.
 
 use crate::clock::{millis, Clock};
-use crate::config::Config;
+use crate::config::{Config, SubmissionConfig};
 use crate::consumers::Consumers;
 use crate::core::{Command, Core};
 use crate::directory::Directory;
-use crate::net::{Net, Peer, Ready, Token};
+use crate::net::{Net, Peer, Ready};
+use crate::submission::Submissions;
 use crate::workers::{Figures, Workers};
 use marbledeck::Micros;
-use std::collections::HashSet;
+use marbledeck_facts::worker_id;
 use std::io;
 use std::os::unix::net::UnixStream;
 
@@ -24,6 +25,7 @@
     consumers: Consumers,
     workers: Workers,
     directory: Directory,
+    submissions: Option<Submissions>,
     signals: UnixStream,
     /// When SIGTERM came.
     ending: Option<Micros>,
@@ -33,20 +35,36 @@
 
 impl Node {
     /// Listens, and starts from the list that the configuration has. `signals` becomes readable on SIGTERM.
-    pub fn new(config: Config, signals: UnixStream) -> io::Result<Self> {
+    pub fn new(
+        config: Config,
+        submission: Option<SubmissionConfig>,
+        signals: UnixStream,
+    ) -> io::Result<Self> {
         let clock = Clock::start();
         let now = clock.now();
         let mut net = Net::new()?;
         let core = Core::new(config.settings, config.catalogue, config.seed, now);
         let mut core = core.map_err(io::Error::other)?;
-        let consumers = Consumers::new(config.listen, config.most_consumers, &mut net)?;
+        // The submitters' descriptors come off the consumers'.
+        let submitters = submission.as_ref().map_or(0, |front| front.max_submitters);
+        let most_consumers = config.most_consumers.saturating_sub(submitters).max(1);
+        let consumers = Consumers::new(config.listen, most_consumers, &mut net)?;
+        let spoken_to = submission.iter().flat_map(|front| &front.workers);
+        let by_submission = spoken_to.map(|word| worker_id(word)).collect();
+        // Ids of jobs differ between nodes and between starts.
+        let prefix = format!("{}-{:x}", config.name, config.seed);
+        let submissions = submission.map(|front| Submissions::new(front, prefix, &mut net));
+        let submissions = submissions.transpose()?;
+        if let Some(front) = &submissions {
+            log::info!("{} takes submissions at {}", config.name, front.addr);
+        }
         let workers = Workers::new(Figures {
             reads: config.reads,
             reports: config.reports,
             idle: config.idle,
             connect_timeout: config.connect_timeout,
             most: config.most_worker_connections,
-            by_submission: HashSet::new(),
+            by_submission,
         });
         let mut directory = Directory::new(config.directory, config.zones, config.kinds);
         directory.known(now, config.known.unwrap_or_default(), &mut core);
@@ -60,6 +78,7 @@
             consumers,
             workers,
             directory,
+            submissions,
             signals,
             ending: None,
             closed: false,
@@ -94,6 +113,7 @@
             self.workers.next_wake(),
             self.directory.next_wake(),
             self.consumers.next_wake(),
+            self.submissions.as_ref().and_then(Submissions::next_wake),
             ending,
             Some(self.next_counts),
         ]
@@ -107,6 +127,9 @@
         self.workers.wake(now, &mut self.net, &mut self.core);
         self.directory.wake(now, &mut self.net, &mut self.core);
         self.consumers.wake(now, &mut self.net);
+        if let Some(front) = &mut self.submissions {
+            front.wake(now, &mut self.net, &mut self.core);
+        }
         if now >= self.next_counts {
             self.next_counts = now + COUNTS;
             log::info!("{}", self.core.counts());
@@ -126,19 +149,30 @@
             Peer::Directory => self
                 .directory
                 .ready(now, token, &mut self.net, &mut self.core),
-            Peer::Signal => self.end(now, token),
+            Peer::Submitter => {
+                if let Some(front) = &mut self.submissions {
+                    match event.listener {
+                        true => front.accept(&mut self.net),
+                        false => front.ready(now, token, &mut self.net, &mut self.core),
+                    }
+                }
+            }
+            Peer::Signal => self.end(now),
         }
         self.carry_out(now);
     }
 
     /// SIGTERM: what is open is finished, and what still comes is served.
-    fn end(&mut self, now: Micros, _token: Token) {
+    fn end(&mut self, now: Micros) {
         let mut drained = [0u8; 16];
         while matches!(io::Read::read(&mut self.signals, &mut drained), Ok(n) if n > 0) {}
         if self.ending.is_none() {
             log::info!("ending");
             self.ending = Some(now);
             self.consumers.ending = true;
+            if let Some(front) = &mut self.submissions {
+                front.ending = true;
+            }
         }
     }
 
@@ -147,7 +181,7 @@
         if due && !std::mem::replace(&mut self.closed, true) {
             self.consumers.close_idle(&mut self.net);
         }
-        due && self.consumers.is_idle() && self.core.idle()
+        due && self.consumers.is_idle() && self.core.idle() && self.net.is_flushed()
     }
 
     /// Carries out what the core wants done, writes it out and waits anew.
@@ -157,6 +191,13 @@
     }
 
     fn carry_out(&mut self, now: Micros) {
+        self.commands(now);
+        if let Some(front) = &mut self.submissions {
+            front.admitted(&mut self.net);
+        }
+    }
+
+    fn commands(&mut self, now: Micros) {
         let (net, core) = (&mut self.net, &mut self.core);
         loop {
             for worker in std::mem::take(&mut self.directory.stale) {
@@ -183,10 +224,17 @@
                     self.workers.probe(now, worker, place, net, core);
                 }
                 Command::Watch => self.directory.watch(now, net, core),
-                Command::Answer { id, verdict, .. } => {
-                    self.consumers.answer(now, id, &verdict, net, core);
+                Command::Answer { id, verdict, sent } => {
+                    let answered = self.consumers.answer(now, id, &verdict, net, core);
+                    if let Some(front) = self.submissions.as_mut().filter(|_| !answered) {
+                        front.answer(now, id, verdict, sent, net);
+                    }
+                }
+                Command::Running(id) => {
+                    if let Some(front) = &mut self.submissions {
+                        front.running(now, id, net);
+                    }
                 }
-                Command::Running(_) => {}
             }
         }
     }
--- /dev/null
+++ b/node/tests/common/mod.rs
@@ -0,0 +1,287 @@
+//! Plays a recorded exchange against the program. `exchanges/README` tells how the files are written.
+
+use std::collections::HashMap;
+use std::fs;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+/// Far longer than anything takes; only a failure waits for so long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Connection {
+    stream: TcpStream,
+    got: Vec<u8>,
+}
+
+impl Connection {
+    /// Reads on; tells whether the peer has closed.
+    fn read(&mut self, patience: Duration) -> bool {
+        self.stream.set_read_timeout(Some(patience)).unwrap();
+        let mut bytes = [0; 4096];
+        match self.stream.read(&mut bytes) {
+            Ok(0) => true,
+            Ok(n) => {
+                self.got.extend_from_slice(&bytes[..n]);
+                false
+            }
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+        }
+    }
+}
+
+pub struct Player {
+    folder: PathBuf,
+    listeners: HashMap<String, TcpListener>,
+    connections: HashMap<String, Connection>,
+    /// Addresses, and what was read in a `<name>`.
+    values: HashMap<String, String>,
+    child: Option<Child>,
+    log: Option<Receiver<String>>,
+    step: String,
+}
+
+impl Drop for Player {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub fn play(file: &Path) {
+    let name = file.file_stem().unwrap().to_string_lossy().into_owned();
+    let folder = std::env::temp_dir().join(format!("marbledeck-{}-{name}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    let mut player = Player {
+        folder,
+        listeners: HashMap::new(),
+        connections: HashMap::new(),
+        values: HashMap::new(),
+        child: None,
+        log: None,
+        step: String::new(),
+    };
+    let text = fs::read_to_string(file).unwrap();
+    let mut lines = text.lines().enumerate().peekable();
+    while let Some((number, line)) = lines.next() {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        if words.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        player.step = format!("{}:{}: {line}", file.display(), number + 1);
+        let mut payload = Vec::new();
+        while let Some((_, part)) = lines.next_if(|(_, l)| l.starts_with(['|', ':', '.', '%'])) {
+            payload.extend(player.bytes(part));
+        }
+        player.act(&words, &payload);
+    }
+}
+
+impl Player {
+    fn bytes(&self, line: &str) -> Vec<u8> {
+        let (mark, text) = line.split_at(1);
+        let known = |text: String, (name, value): (&String, &String)| {
+            text.replace(&format!("{{{name}}}"), value)
+        };
+        let text = self.values.iter().fold(text.to_owned(), known);
+        let text = match (mark, text.as_str()) {
+            ("|", _) => text + "\r\n",
+            (":", _) => text + "\n",
+            ("%", "") => "0\r\n\r\n".to_owned(),
+            ("%", _) => format!("{:x}\r\n{text}\n\r\n", text.len() + 1),
+            _ => text,
+        };
+        text.into_bytes()
+    }
+
+    fn fail(&self, what: &str) -> ! {
+        let log: Vec<String> = self.log.iter().flat_map(|log| log.try_iter()).collect();
+        panic!("{}: {what}\nlog:\n{}", self.step, log.join("\n"))
+    }
+
+    fn act(&mut self, words: &[&str], payload: &[u8]) {
+        match words {
+            ["start", rest @ ..] => self.start(rest, payload),
+            ["consumer", name] => self.connect(name, "consumers"),
+            ["submitter", name] => self.connect(name, "submitters"),
+            ["accept", name, "at", listener] => self.accept(name, listener),
+            ["quiet", listener] => {
+                if self.listeners[*listener].accept().is_ok() {
+                    self.fail("a connection that nobody asked for");
+                }
+            }
+            [name, ">"] => {
+                let connection = self.connections.get_mut(*name).expect("connected");
+                connection.stream.write_all(payload).unwrap();
+            }
+            [name, "<"] => self.expect(name, payload),
+            [name, "<", "nothing"] => {
+                self.connections
+                    .get_mut(*name)
+                    .unwrap()
+                    .read(Duration::from_millis(100));
+                if !self.connections[*name].got.is_empty() {
+                    self.fail("bytes that nobody asked for");
+                }
+            }
+            [name, "closes"] => drop(self.connections.remove(*name)),
+            [name, "closed"] => self.closed(name),
+            ["log"] => self.logged(payload),
+            ["terminate"] => {
+                let id = self.child.as_ref().unwrap().id().to_string();
+                let killed = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+                assert!(killed.success());
+            }
+            ["ends"] => {
+                let status = self.child.take().unwrap().wait().unwrap();
+                if !status.success() {
+                    self.fail(&status.to_string());
+                }
+            }
+            _ => self.fail("no such step"),
+        }
+    }
+
+    fn listen(&mut self, name: &str) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let addr = listener.local_addr().unwrap().to_string();
+        self.values.insert(name.to_owned(), addr);
+        self.listeners.insert(name.to_owned(), listener);
+    }
+
+    /// Starts the node with these workers; the payload is a front's file, if there is one.
+    fn start(&mut self, workers: &[&str], front: &[u8]) {
+        ["directory"]
+            .iter()
+            .chain(workers)
+            .for_each(|name| self.listen(name));
+        let member = |name: &&str| {
+            format!(
+                r#"{{"id":"{name}","host_port":"{}","locality":"east","flavor":"std","cell":0,"phase":"up"}}"#,
+                self.values[*name]
+            )
+        };
+        let members: Vec<String> = workers.iter().map(member).collect();
+        let tests = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/exchanges");
+        let config = fs::read_to_string(tests.join("config.json")).unwrap();
+        let config = config.replace("\"MEMBERS\"", &members.join(","));
+        let path = self.folder.join("config.json");
+        fs::write(&path, config).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_marbledeck"));
+        command
+            .env("LB_CONFIG", path)
+            .env("LB_LISTEN", "127.0.0.1:0")
+            .env("LB_DISCOVERY", &self.values["directory"])
+            .stderr(Stdio::piped());
+        if !front.is_empty() {
+            let path = self.folder.join("submission.toml");
+            fs::write(&path, front).unwrap();
+            command.arg("--submission").arg(path);
+        }
+        let mut child = command.spawn().unwrap();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        let (sender, log) = channel();
+        std::thread::spawn(move || {
+            stderr
+                .lines()
+                .map_while(Result::ok)
+                .for_each(|line| drop(sender.send(line)));
+        });
+        (self.child, self.log) = (Some(child), Some(log));
+        if !front.is_empty() {
+            self.logged(b"takes submissions at <submitters>\n");
+        }
+        self.logged(b"serves at <consumers>\n");
+    }
+
+    fn connect(&mut self, name: &str, to: &str) {
+        let stream = TcpStream::connect(&self.values[to]).unwrap();
+        self.keep(name, stream);
+    }
+
+    fn accept(&mut self, name: &str, listener: &str) {
+        let until = Instant::now() + PATIENCE;
+        let stream = loop {
+            match self.listeners[listener].accept() {
+                Ok((stream, _)) => break stream,
+                Err(_) if Instant::now() < until => std::thread::sleep(Duration::from_millis(2)),
+                Err(e) => self.fail(&e.to_string()),
+            }
+        };
+        stream.set_nonblocking(false).unwrap();
+        self.keep(name, stream);
+    }
+
+    fn keep(&mut self, name: &str, stream: TcpStream) {
+        stream.set_nodelay(true).unwrap();
+        let got = Vec::new();
+        self.connections
+            .insert(name.to_owned(), Connection { stream, got });
+    }
+
+    fn expect(&mut self, name: &str, pattern: &[u8]) {
+        let pattern = String::from_utf8_lossy(pattern).into_owned();
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let connection = self.connections.get_mut(name).expect("connected");
+            let got = String::from_utf8_lossy(&connection.got).into_owned();
+            if let Some((used, values)) = matched(&pattern, &got) {
+                connection.got.drain(..used);
+                return self.values.extend(values);
+            }
+            if connection.read(Duration::from_millis(50)) || Instant::now() > until {
+                self.fail(&format!("wanted\n{pattern}\ngot\n{got}"));
+            }
+        }
+    }
+
+    fn closed(&mut self, name: &str) {
+        let until = Instant::now() + PATIENCE;
+        let connection = self.connections.get_mut(name).expect("connected");
+        while !connection.read(Duration::from_millis(50)) && Instant::now() < until {}
+        let rest = String::from_utf8_lossy(&connection.got).into_owned();
+        if Instant::now() > until || !rest.is_empty() {
+            self.fail(&format!("still open, or not all was expected: {rest}"));
+        }
+    }
+
+    /// Waits for a line of the log that ends like this.
+    fn logged(&mut self, pattern: &[u8]) {
+        let pattern = String::from_utf8_lossy(pattern).trim_end().to_owned();
+        let log = self.log.take().expect("started");
+        while let Ok(line) = log.recv_timeout(PATIENCE) {
+            let from = line.find(pattern.split('<').next().unwrap());
+            let found = from
+                .and_then(|from| matched(&format!("{pattern}\n"), &format!("{}\n", &line[from..])));
+            if let Some((_, values)) = found {
+                self.values.extend(values);
+                self.log = Some(log);
+                return;
+            }
+        }
+        self.fail(&format!("not in the log: {pattern}"));
+    }
+}
+
+/// Matches a pattern with `<name>` for any run of bytes up to what follows it against the beginning of `got`;
+/// tells how much it takes.
+fn matched(pattern: &str, got: &str) -> Option<(usize, HashMap<String, String>)> {
+    let (mut used, mut values) = (0, HashMap::new());
+    let mut parts = pattern.split('<');
+    let first = parts.next().unwrap();
+    got.starts_with(first).then(|| used += first.len())?;
+    for part in parts {
+        let (name, literal) = part.split_once('>').expect("a name ends");
+        let end = got[used..].find(literal)?;
+        values.insert(name.to_owned(), got[used..used + end].to_owned());
+        used += end + literal.len();
+    }
+    Some((used, values))
+}
--- /dev/null
+++ b/node/tests/exchanges.rs
@@ -0,0 +1,11 @@
+//! Recorded exchanges, played against the program.
+
+mod common;
+
+use rstest::rstest;
+use std::path::PathBuf;
+
+#[rstest]
+fn exchange(#[files("tests/exchanges/*.txt")] file: PathBuf) {
+    common::play(&file);
+}
