--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -113,7 +113,8 @@
             Err(e) => return err("LB_CONFIG", format_args!("{path}: {e}")),
         };
         let mut json = serde_json::Deserializer::from_str(&text);
-        let file: File = keyed("LB_CONFIG", serde_path_to_error::deserialize(&mut json))?;
+        let read = serde_path_to_error::deserialize(&mut json);
+        let file: File = keyed("LB_CONFIG", read, |e: &serde_json::Error| e.to_string())?;
         let either = |name: &str, key: &str, in_file: &Option<String>| match var(name) {
             Some(value) => Ok((name.to_owned(), value)),
             None => match in_file {
@@ -132,7 +133,8 @@
             Some(Err(_)) => return err("LB_CONFIG: seed", "want a number in hexadecimal digits"),
         };
         let facts = file.settings;
-        let settings = match facts.settings() {
+        let checked = facts.settings().and_then(|s| s.check().map(|()| s));
+        let settings = match checked {
             Ok(settings) => settings,
             Err(e) => return err("LB_CONFIG: settings", e.0),
         };
@@ -175,16 +177,17 @@
     }
 }
 
-/// Names the key that a value was read for.
-fn keyed<T, E: fmt::Display>(
+/// Names the key that a value was read for; `words` tells in a line what is wrong with it.
+fn keyed<T, E>(
     source: &str,
     read: Result<T, serde_path_to_error::Error<E>>,
+    words: impl Fn(&E) -> String,
 ) -> Result<T, ConfigError> {
     read.or_else(|e| {
         let path = e.path().to_string();
         match path.as_str() {
-            "." | "?" => err(source, e.inner()),
-            path => err(format!("{source}: {path}"), e.inner()),
+            "." | "?" => err(source, words(e.inner())),
+            path => err(format!("{source}: {path}"), words(e.inner())),
         }
     })
 }
@@ -253,7 +256,8 @@
             Ok(toml) => toml,
             Err(e) => return err(source, e.message()),
         };
-        let config: Self = keyed(source, serde_path_to_error::deserialize(toml))?;
+        let read = serde_path_to_error::deserialize(toml);
+        let config: Self = keyed(source, read, |e: &toml::de::Error| e.message().to_owned())?;
         let wanted = [
             ("max_line", config.max_line, 1024, 160 * 1024),
             ("max_jobs", config.max_jobs, 1, 65536),
--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -361,6 +361,19 @@
         while self.drop_idle(net) {}
     }
 
+    /// Closes the connections on which a request has not wholly come: it was not taken.
+    pub fn drop_half_read(&mut self, net: &mut Net) {
+        let half = |c: &Consumer| matches!(c.stage, Stage::Head | Stage::Body(..));
+        let half = self
+            .open
+            .iter()
+            .filter(|(_, c)| half(c))
+            .map(|(token, _)| *token);
+        for token in half.collect::<Vec<_>>() {
+            self.drop_consumer(token, net);
+        }
+    }
+
     /// Whether no request is half read or without its answer.
     pub fn is_idle(&self) -> bool {
         self.open.len() == self.idle.len()
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -14,7 +14,9 @@
 use std::os::unix::net::UnixStream;
 
 /// For so long after SIGTERM new connections are taken: fronts notice with some delay.
-const ENDING: Micros = millis(1000);
+const ENDING: Micros = millis(700);
+/// How much longer a request may take that has begun to come.
+const HALF_READ: Micros = millis(1000);
 /// How often the counts are logged.
 const COUNTS: Micros = millis(10_000);
 
@@ -27,8 +29,9 @@
     directory: Directory,
     submissions: Option<Submissions>,
     signals: UnixStream,
-    /// When SIGTERM came.
+    /// When the next step of the end is due, once SIGTERM has come.
     ending: Option<Micros>,
+    /// No connection is taken any more.
     closed: bool,
     next_counts: Micros,
 }
@@ -107,14 +110,13 @@
     }
 
     fn next_wake(&self) -> Option<Micros> {
-        let ending = self.ending.filter(|_| !self.closed).map(|at| at + ENDING);
         [
             self.core.next_wake(),
             self.workers.next_wake(),
             self.directory.next_wake(),
             self.consumers.next_wake(),
             self.submissions.as_ref().and_then(Submissions::next_wake),
-            ending,
+            self.ending,
             Some(self.next_counts),
         ]
         .into_iter()
@@ -168,7 +170,7 @@
         while matches!(io::Read::read(&mut self.signals, &mut drained), Ok(n) if n > 0) {}
         if self.ending.is_none() {
             log::info!("ending");
-            self.ending = Some(now);
+            self.ending = Some(now + ENDING);
             self.consumers.ending = true;
             if let Some(front) = &mut self.submissions {
                 front.ending = true;
@@ -177,11 +179,15 @@
     }
 
     fn is_over(&mut self, now: Micros) -> bool {
-        let due = self.ending.is_some_and(|at| now >= at + ENDING);
-        if due && !std::mem::replace(&mut self.closed, true) {
-            self.consumers.close_idle(&mut self.net);
+        if self.ending.is_some_and(|due| due <= now) {
+            self.ending = Some(now + HALF_READ);
+            if !std::mem::replace(&mut self.closed, true) {
+                self.consumers.close_idle(&mut self.net);
+            } else {
+                self.consumers.drop_half_read(&mut self.net);
+            }
         }
-        due && self.consumers.is_idle() && self.core.idle() && self.net.is_flushed()
+        self.closed && self.consumers.is_idle() && self.core.idle() && self.net.is_flushed()
     }
 
     /// Carries out what the core wants done, writes it out and waits anew.
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -62,7 +62,11 @@
         folder,
         listeners: HashMap::new(),
         connections: HashMap::new(),
-        values: HashMap::new(),
+        values: [
+            ("64k".to_owned(), "x".repeat(65536)),
+            ("60k".to_owned(), "y".repeat(61440)),
+        ]
+        .into(),
         child: None,
         log: None,
         step: String::new(),
@@ -116,6 +120,12 @@
                     self.fail("a connection that nobody asked for");
                 }
             }
+            ["refuse", listener] => drop(self.listeners.remove(*listener)),
+            ["crowd", count] => {
+                for n in 0..count.parse().unwrap() {
+                    self.connect(&format!("crowd {n}"), "consumers");
+                }
+            }
             [name, ">"] => {
                 let connection = self.connections.get_mut(*name).expect("connected");
                 connection.stream.write_all(payload).unwrap();
@@ -157,10 +167,15 @@
     }
 
     /// Starts the node with these workers; the payload is a front's file, if there is one.
-    fn start(&mut self, workers: &[&str], front: &[u8]) {
+    fn start(&mut self, words: &[&str], front: &[u8]) {
+        let (limits, workers): (Vec<&str>, Vec<&str>) = words.iter().partition(|w| w.contains('='));
+        let sockets = limits
+            .first()
+            .and_then(|l| l.strip_prefix("sockets="))
+            .unwrap_or("1024");
         ["directory"]
             .iter()
-            .chain(workers)
+            .chain(&workers)
             .for_each(|name| self.listen(name));
         let member = |name: &&str| {
             format!(
@@ -172,6 +187,7 @@
         let tests = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/exchanges");
         let config = fs::read_to_string(tests.join("config.json")).unwrap();
         let config = config.replace("\"MEMBERS\"", &members.join(","));
+        let config = config.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
         let path = self.folder.join("config.json");
         fs::write(&path, config).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_marbledeck"));
--- /dev/null
+++ b/node/tests/config.rs
@@ -0,0 +1,103 @@
+//! Faulty configuration: every message names the key.
+
+use marbledeck_node::config::{Arguments, Config, SubmissionConfig};
+use rstest::rstest;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// A file with this text, of its own name for each test.
+fn written(name: &str, text: &str) -> PathBuf {
+    let name = name.replace(|c: char| !c.is_alphanumeric(), "-");
+    let path = std::env::temp_dir().join(format!("marbledeck-{}-{name}", std::process::id()));
+    fs::write(&path, text).unwrap();
+    path
+}
+
+#[rstest]
+#[case(r#""seed":"7""#, r#""seed":"xyz""#, "LB_CONFIG: seed: want a number")]
+#[case(
+    r#""sockets":1024"#,
+    r#""sockets":"many""#,
+    "LB_CONFIG: limits.sockets: invalid type"
+)]
+#[case(
+    r#""sockets":1024"#,
+    r#""sockets":20"#,
+    "LB_CONFIG: limits.sockets: want 96 or more"
+)]
+#[case(
+    r#""balancers":1,"#,
+    "",
+    "LB_CONFIG: settings: missing field `balancers`"
+)]
+#[case(
+    r#""balancers":1,"#,
+    r#""balancers":0,"#,
+    "LB_CONFIG: settings: there must be at least one"
+)]
+#[case(
+    r#""name":"preview","#,
+    "",
+    "LB_CONFIG: settings.profiles[0].name: missing"
+)]
+#[case(
+    r#""try-limit":3"#,
+    r#""try-limit":-3"#,
+    "LB_CONFIG: settings.bounds.try-limit: invalid"
+)]
+#[case(
+    r#""127.0.0.1:1""#,
+    r#""here""#,
+    "LB_CONFIG: discovery: 'here' is no address"
+)]
+#[case(r#""discovery":"127.0.0.1:1","#, "", "LB_DISCOVERY: not set")]
+#[case("{", "", "LB_CONFIG: ")]
+fn a_faulty_file(#[case] right: &str, #[case] wrong: &str, #[case] message: &str) {
+    let tests = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/exchanges");
+    let text = fs::read_to_string(tests.join("config.json")).unwrap();
+    let text = text.replace("\"MEMBERS\"", "").replacen(right, wrong, 1);
+    let path = written(message, &text);
+    let var = |name: &str| match name {
+        "LB_CONFIG" => Some(path.display().to_string()),
+        "LB_LISTEN" => Some("127.0.0.1:0".to_owned()),
+        _ => None,
+    };
+    let error = Config::read(var).err().expect("faulty").to_string();
+    fs::remove_file(&path).unwrap();
+    assert!(error.starts_with(message), "{error}");
+}
+
+#[rstest]
+#[case("workers = []", "missing field `listen`")]
+#[case("listen = \"here\"", "listen: invalid socket address")]
+#[case("listen = \"127.0.0.1:0\"\nmax_bulk = 0", "max_bulk: want 1 to 4096")]
+#[case("listen = \"127.0.0.1:0\"\nmax_bluk = 9", "unknown field `max_bluk`")]
+#[case("listen = ", "invalid")]
+fn a_faulty_front(#[case] text: &str, #[case] message: &str) {
+    let path = written(message, text);
+    let error = SubmissionConfig::read(&path).unwrap_err().to_string();
+    fs::remove_file(&path).unwrap();
+    let own = path.display().to_string();
+    assert!(
+        error.starts_with(&own) && error.contains(message),
+        "{error}"
+    );
+}
+
+/// The file of the repository holds the defaults, as it says.
+#[test]
+fn the_front_of_the_repository() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/submission.toml");
+    let short = written("short", "listen = \"127.0.0.1:7100\"");
+    let defaults = SubmissionConfig::read(&short);
+    fs::remove_file(&short).unwrap();
+    assert_eq!(SubmissionConfig::read(&path), defaults);
+}
+
+#[rstest]
+#[case(&["--submission"], "--submission: want a file")]
+#[case(&["-x"], "-x: unknown argument; known: --submission FILE")]
+fn a_faulty_command_line(#[case] words: &[&str], #[case] message: &str) {
+    let words = words.iter().map(|word| word.to_string());
+    assert_eq!(Arguments::read(words).unwrap_err().to_string(), message);
+}
--- /dev/null
+++ b/node/tests/core.rs
@@ -0,0 +1,161 @@
+//! Scripts of events for the core, without any socket. `core/README` tells how they are written.
+
+use marbledeck::{Entry, ListKind, Micros, Outcome, RequestId, WorkerId, ZoneId};
+use marbledeck_facts::{worker_id, Facts};
+use marbledeck_node::core::{Catalogue, Command, Core, Order, Verdict, Work};
+use rstest::rstest;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+struct Script {
+    core: Core,
+    /// In the order in which they were first called: which one is drawn is not the scripts' concern.
+    workers: Vec<WorkerId>,
+    names: Vec<String>,
+}
+
+fn ms(word: &str) -> Micros {
+    Micros(word.parse::<u64>().expect("milliseconds") * 1000)
+}
+
+fn outcome(word: &str) -> Outcome {
+    match word {
+        "ok" => Outcome::Ok,
+        "full" => Outcome::Full,
+        "reset" => Outcome::Reset,
+        "unconnected" => Outcome::ConnectFailed,
+        _ => Outcome::Error,
+    }
+}
+
+impl Script {
+    fn id(&self, name: &str) -> RequestId {
+        let at = self.names.iter().position(|known| known == name);
+        RequestId(at.expect("ordered before") as u64)
+    }
+
+    fn act(&mut self, now: Micros, words: &[&str]) {
+        match words {
+            ["list", workers @ ..] => {
+                let entry = |name: &&str| Entry {
+                    worker: worker_id(name),
+                    zone: ZoneId(0),
+                    ..Entry::default()
+                };
+                self.core
+                    .listed(now, ListKind::Full, workers.iter().map(entry).collect());
+            }
+            ["order", name, class, wait] => {
+                self.names.push(name.to_string());
+                let order = Order {
+                    class,
+                    tenant: Some("au"),
+                    time_left: ms(wait),
+                    work: Work {
+                        key: Some("k".to_owned()),
+                        ..Work::default()
+                    },
+                    ..Order::default()
+                };
+                let taken = self.core.take_in(now, order);
+                assert_eq!(taken, Ok(self.id(name)));
+            }
+            ["started", name, go] => {
+                self.core
+                    .call_started(now, self.id(name), go.parse().unwrap());
+            }
+            ["ended", name, go, how] => {
+                let result = (*how == "ok").then(|| b"result".to_vec());
+                let go = go.parse().unwrap();
+                self.core
+                    .call_ended(now, self.id(name), go, outcome(how), result, None);
+            }
+            ["gone", name] => drop(self.core.gone(now, self.id(name))),
+            ["wake"] => self.core.wake(now),
+            ["idle"] => assert!(self.core.idle()),
+            _ => panic!("no such event"),
+        }
+    }
+
+    fn told(&mut self) -> Vec<String> {
+        let mut told = Vec::new();
+        while let Some(command) = self.core.command() {
+            let names = &self.names;
+            let name = |id: RequestId| names[id.0 as usize].clone();
+            told.push(match command {
+                Command::Call {
+                    id,
+                    attempt,
+                    worker,
+                    until,
+                    ..
+                } => {
+                    let known = self.workers.iter().position(|w| *w == worker);
+                    let place = known.unwrap_or_else(|| {
+                        self.workers.push(worker);
+                        self.workers.len() - 1
+                    });
+                    format!(
+                        "call {} {attempt} w{} until {}",
+                        name(id),
+                        place + 1,
+                        until.0 / 1000
+                    )
+                }
+                Command::GiveUp { id, attempt } => format!("give up {} {attempt}", name(id)),
+                Command::Probe(_) => "probe".to_owned(),
+                Command::Watch => "watch".to_owned(),
+                Command::Running(id) => format!("running {}", name(id)),
+                Command::Answer { id, verdict, sent } => {
+                    let verdict = match verdict {
+                        Verdict::Served(_) => "served".to_owned(),
+                        Verdict::Refused(wait) => format!("refused {:?}", wait.map(Micros::secs)),
+                        Verdict::Failed => "failed".to_owned(),
+                    };
+                    format!(
+                        "{} {verdict} sent {:?}",
+                        name(id),
+                        sent.map(|at| at.0 / 1000)
+                    )
+                }
+            });
+        }
+        told
+    }
+}
+
+#[rstest]
+fn script(#[files("tests/core/*.txt")] file: PathBuf) {
+    let tests = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests");
+    let config = fs::read_to_string(tests.join("exchanges/config.json")).unwrap();
+    let config = config.replace("\"MEMBERS\"", "");
+    let config: serde_json::Value = serde_json::from_str(&config).unwrap();
+    let facts: Facts = serde_json::from_value(config["settings"].clone()).unwrap();
+    let settings = facts.settings().unwrap();
+    let catalogue = Catalogue::new(&facts, &settings);
+    let mut script = Script {
+        core: Core::new(settings, catalogue, 7, Micros(0)).unwrap(),
+        workers: Vec::new(),
+        names: Vec::new(),
+    };
+    let text = fs::read_to_string(&file).unwrap();
+    let mut lines = text.lines().enumerate().peekable();
+    while let Some((number, line)) = lines.next() {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        if words.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        script.act(ms(words[0]), &words[1..]);
+        let mut wanted = Vec::new();
+        while let Some((_, line)) = lines.next_if(|(_, line)| line.starts_with('>')) {
+            wanted.push(line[1..].trim().to_owned());
+        }
+        assert_eq!(
+            script.told(),
+            wanted,
+            "{}:{}: {line}",
+            file.display(),
+            number + 1
+        );
+    }
+}
