--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -226,10 +226,10 @@
         128 * 1024
     }
     pub fn max_jobs() -> usize {
-        4096
+        8192
     }
     pub fn max_bytes() -> usize {
-        32 * 1024 * 1024
+        48 * 1024 * 1024
     }
     pub fn max_bulk() -> usize {
         256
@@ -238,7 +238,7 @@
         64
     }
     pub fn retain_s() -> u64 {
-        300
+        120
     }
 }
 
--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -266,7 +266,13 @@
                     words
                 };
                 let retry = (status == 503).then_some(Micros(1_000_000));
-                self.say(now, token, status, retry, words.as_bytes(), keep, net);
+                let reply = Reply {
+                    status,
+                    retry,
+                    body: words.as_bytes(),
+                    keep,
+                };
+                self.say(now, token, &reply, net);
             }
         }
     }
@@ -293,47 +299,30 @@
         };
         let stage = self.open.get(&token).map(|c| &c.stage);
         let keep = matches!(stage, Some(Stage::Waiting(_, true))) && !self.ending;
-        match verdict {
-            Verdict::Served(result) => self.say(now, token, 200, None, result, keep, net),
-            Verdict::Refused(retry) => {
-                self.say(now, token, 429, *retry, b"come back later", keep, net)
-            }
-            Verdict::Failed => self.say(now, token, 502, None, b"failed", keep, net),
-        }
+        let (status, retry, body): (_, _, &[u8]) = match verdict {
+            Verdict::Served(result) => (200, None, result),
+            Verdict::Refused(retry) => (429, *retry, b"come back later"),
+            Verdict::Failed => (502, None, b"failed"),
+        };
+        let reply = Reply {
+            status,
+            retry,
+            body,
+            keep,
+        };
+        self.say(now, token, &reply, net);
         // A request that was sent behind this one waits to be read.
         self.read(now, token, net, core);
         true
     }
 
     /// Answers, and keeps the connection for the next request or closes it.
-    #[allow(clippy::too_many_arguments)]
-    fn say(
-        &mut self,
-        now: Micros,
-        token: Token,
-        status: u16,
-        retry: Option<Micros>,
-        body: &[u8],
-        keep: bool,
-        net: &mut Net,
-    ) {
-        let retry = retry.map_or(String::new(), |wait| {
-            format!("Retry-After: {}\r\n", wait.secs())
-        });
-        let close = if keep { "" } else { "Connection: close\r\n" };
-        let head = format!(
-            "HTTP/1.1 {status} {}\r\n{retry}{close}Content-Length: {}\r\n\r\n",
-            reason(status),
-            body.len()
-        );
-        let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(body);
-        if !net.write(token, &bytes) {
+    fn say(&mut self, now: Micros, token: Token, reply: &Reply, net: &mut Net) {
+        if !net.write(token, &reply.bytes()) {
             return self.drop_consumer(token, net);
         }
-        if keep {
+        if reply.keep {
             self.set_idle(now, token);
-            net.touch(token);
         } else {
             self.forget(token);
             net.finish(token);
@@ -343,15 +332,13 @@
     /// Answers what is no request, and closes: where the next one begins is not known.
     fn reject(&mut self, token: Token, rejected: &Rejected, net: &mut Net) {
         let Rejected(status, words) = rejected;
-        self.say(
-            Micros(0),
-            token,
-            *status,
-            None,
-            words.as_bytes(),
-            false,
-            net,
-        );
+        let reply = Reply {
+            status: *status,
+            retry: None,
+            body: words.as_bytes(),
+            keep: false,
+        };
+        self.say(Micros(0), token, &reply, net);
     }
 
     /// Stops taking connections and closes those between two requests.
@@ -380,6 +367,38 @@
     }
 }
 
+/// An answer to a consumer.
+struct Reply<'a> {
+    status: u16,
+    /// When to come back.
+    retry: Option<Micros>,
+    body: &'a [u8],
+    /// Whether the connection stays open.
+    keep: bool,
+}
+
+impl Reply<'_> {
+    fn bytes(&self) -> Vec<u8> {
+        let retry = self.retry.map_or(String::new(), |wait| {
+            format!("Retry-After: {}\r\n", wait.secs())
+        });
+        let close = if self.keep {
+            ""
+        } else {
+            "Connection: close\r\n"
+        };
+        let head = format!(
+            "HTTP/1.1 {} {}\r\n{retry}{close}Content-Length: {}\r\n\r\n",
+            self.status,
+            reason(self.status),
+            self.body.len()
+        );
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(self.body);
+        bytes
+    }
+}
+
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -51,17 +51,21 @@
     Failed,
 }
 
+/// One attempt of an invocation at a worker.
+#[derive(Clone, Debug)]
+pub struct InvokerCall {
+    pub id: RequestId,
+    pub attempt: u32,
+    pub worker: WorkerId,
+    pub work: Rc<Work>,
+    pub until: Micros,
+}
+
 /// What the fronts and the worker links are to do.
 #[derive(Clone, Debug)]
 pub enum Command {
     /// Make an invoker call, to be answered by one [`Core::call_ended`].
-    Call {
-        id: RequestId,
-        attempt: u32,
-        worker: WorkerId,
-        work: Rc<Work>,
-        until: Micros,
-    },
+    Call(InvokerCall),
     /// Stop waiting for a call. Nothing more is to be told of it.
     GiveUp { id: RequestId, attempt: u32 },
     /// Ask a worker for its load, to be answered by one [`Core::probed`].
--- a/node/src/core/send.rs
+++ b/node/src/core/send.rs
@@ -1,7 +1,7 @@
 //! Stage 4, send: hands a call to the worker links and sees to its time-out and its withdrawal.
 
 use super::timers::Due;
-use super::{Command, Core};
+use super::{Command, Core, InvokerCall};
 use marbledeck::{Micros, Outcome, RequestId};
 
 impl Core {
@@ -21,13 +21,13 @@
         let work = invocation.work.clone();
         self.timers.add(until, Due::Attempt(id, attempt));
         self.counts.calls += 1;
-        self.commands.push_back(Command::Call {
+        self.commands.push_back(Command::Call(InvokerCall {
             id,
             attempt,
             worker,
             work,
             until,
-        });
+        }));
     }
 
     pub(super) fn time_out(&mut self, now: Micros, id: RequestId, attempt: u32) {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -213,16 +213,9 @@
                 return;
             };
             match command {
-                Command::Call {
-                    id,
-                    attempt,
-                    worker,
-                    work,
-                    until,
-                } => {
-                    let place = self.directory.place(worker);
-                    self.workers
-                        .call(now, (id, attempt), worker, place, &work, until, net, core);
+                Command::Call(call) => {
+                    let place = self.directory.place(call.worker);
+                    self.workers.call(now, &call, place, net, core);
                 }
                 Command::GiveUp { id, attempt } => self.workers.give_up(id, attempt, net),
                 Command::Probe(worker) => {
--- a/node/src/submission/jobs.rs
+++ b/node/src/submission/jobs.rs
@@ -97,6 +97,27 @@
     Some((template.accounting_id.clone(), key))
 }
 
+/// How a job has ended, besides its state.
+#[derive(Default)]
+struct End {
+    sub_state: Option<&'static str>,
+    problem: Option<Problem>,
+    result: Option<String>,
+    /// The last send that may have run.
+    sent: Option<Micros>,
+}
+
+impl End {
+    fn why(sub_state: &'static str, problem: Option<Problem>, sent: Option<Micros>) -> Self {
+        End {
+            sub_state: Some(sub_state),
+            problem,
+            result: None,
+            sent,
+        }
+    }
+}
+
 pub struct Jobs {
     retain: Micros,
     max_jobs: usize,
@@ -207,7 +228,16 @@
         match verdict {
             Verdict::Served(result) => {
                 let result = String::from_utf8_lossy(&result).into_owned();
-                self.end(id, now, JobState::Done, None, None, Some(result), sent);
+                self.end(
+                    id,
+                    now,
+                    JobState::Done,
+                    End {
+                        result: Some(result),
+                        sent,
+                        ..End::default()
+                    },
+                );
             }
             Verdict::Refused(wait) => {
                 let ms = wait.map_or(1000, |wait| wait.0.div_ceil(1000));
@@ -216,10 +246,7 @@
                     id,
                     now,
                     JobState::Failed,
-                    Some("refused"),
-                    Some(problem),
-                    None,
-                    sent,
+                    End::why("refused", Some(problem), sent),
                 );
                 // Coming back is harmless, so the key starts anew.
                 self.forget_key(id);
@@ -234,10 +261,7 @@
                     id,
                     now,
                     JobState::Failed,
-                    Some(sub),
-                    Some(problem),
-                    None,
-                    sent,
+                    End::why(sub, Some(problem), sent),
                 );
             }
         }
@@ -249,30 +273,18 @@
             id,
             now,
             JobState::Failed,
-            Some("terminated"),
-            None,
-            None,
-            sent,
+            End::why("terminated", None, sent),
         );
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn end(
-        &mut self,
-        id: &str,
-        now: Micros,
-        state: JobState,
-        sub_state: Option<&'static str>,
-        problem: Option<Problem>,
-        result: Option<String>,
-        sent: Option<Micros>,
-    ) {
+    fn end(&mut self, id: &str, now: Micros, state: JobState, end: End) {
+        let sent = end.sent;
         let Some(job) = self.jobs.get_mut(id).filter(|job| !job.is_over()) else {
             return;
         };
         let before = job.size();
-        (job.state, job.sub_state) = (state, sub_state);
-        (job.problem, job.result) = (problem, result);
+        (job.state, job.sub_state) = (state, end.sub_state);
+        (job.problem, job.result) = (end.problem, end.result);
         job.finished = Some(now);
         self.bytes = self.bytes + job.size() - before;
         self.by_invocation.remove(&job.invocation);
--- a/node/src/submission/mod.rs
+++ b/node/src/submission/mod.rs
@@ -58,6 +58,25 @@
     until: Option<Micros>,
 }
 
+impl Wait {
+    fn new(
+        token: Token,
+        seq: Value,
+        job: String,
+        for_start: bool,
+        now: Micros,
+        timeout_ms: Option<u64>,
+    ) -> Self {
+        Wait {
+            token,
+            seq,
+            job,
+            for_start,
+            until: timeout_ms.map(|ms| now + millis(ms.min(LONGEST_MS))),
+        }
+    }
+}
+
 /// A job and whether it was joined, or why it is none.
 type Handed = Result<(String, bool), Problem>;
 
@@ -272,10 +291,12 @@
                 None => self.say(token, &seq, unknown_job(), net),
             },
             Op::WaitStarted { job_id, timeout_ms } => {
-                self.wait(now, token, seq, job_id, timeout_ms, true, net);
+                let wait = Wait::new(token, seq, job_id, true, now, timeout_ms);
+                self.wait(wait, net);
             }
             Op::WaitTerminated { job_id, timeout_ms } => {
-                self.wait(now, token, seq, job_id, timeout_ms, false, net);
+                let wait = Wait::new(token, seq, job_id, false, now, timeout_ms);
+                self.wait(wait, net);
             }
             Op::Terminate { job_id } => self.terminate(now, token, &seq, &job_id, net, core),
         }
@@ -287,13 +308,14 @@
                 "beginIndex, endIndex and step name no job",
             ));
         }
-        // Wide enough for any two indices.
-        let count = (i128::from(end) - i128::from(begin)) / i128::from(step) + 1;
+        // Wider than any index: the way from one to another may not fit into the indices' own size.
+        let (begin, end, step) = (i128::from(begin), i128::from(end), i128::from(step));
+        let count = (end - begin) / step + 1;
         if count > self.config.max_bulk as i128 {
             let most = self.config.max_bulk;
             return Err(Problem::invalid(format!("at most {most} jobs at once")));
         }
-        Ok((0..count as i64).map(|n| begin + n * step).collect())
+        Ok((0..count).map(|n| (begin + n * step) as i64).collect())
     }
 
     /// Hands a job to the core, or joins it to the one that has its key.
@@ -389,43 +411,31 @@
         })
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn wait(
-        &mut self,
-        now: Micros,
-        token: Token,
-        seq: Value,
-        job: String,
-        timeout_ms: Option<u64>,
-        for_start: bool,
-        net: &mut Net,
-    ) {
-        let Some(known) = self.jobs.get(&job) else {
-            return self.say(token, &seq, unknown_job(), net);
+    /// Answers a wait that is over as it comes, and keeps any other.
+    fn wait(&mut self, wait: Wait, net: &mut Net) {
+        let Some(known) = self.jobs.get(&wait.job) else {
+            return self.say(wait.token, &wait.seq, unknown_job(), net);
         };
-        if known.is_over() || for_start && known.state == JobState::Running {
-            return self.send(token, Out::Info(seq, job), net);
+        if known.is_over() || wait.for_start && known.state == JobState::Running {
+            return self.send(wait.token, Out::Info(wait.seq, wait.job), net);
         }
-        let Some(session) = self.sessions.get_mut(&token) else {
+        let Some(session) = self.sessions.get_mut(&wait.token) else {
             return;
         };
         if session.waits >= MOST_WAITS {
-            return self.say(token, &seq, Problem::later("too many waits", 1000), net);
+            let problem = Problem::later("too many waits", 1000);
+            return self.say(wait.token, &wait.seq, problem, net);
         }
         session.waits += 1;
-        let until = timeout_ms.map(|ms| now + millis(ms.min(LONGEST_MS)));
         let number = self.next_wait;
-        self.waits_due.extend(until.map(|until| (until, number)));
-        self.waits_of.entry(job.clone()).or_default().push(number);
-        let wait = Wait {
-            token,
-            seq,
-            job,
-            for_start,
-            until,
-        };
-        self.waits.insert(number, wait);
         self.next_wait += 1;
+        self.waits_due
+            .extend(wait.until.map(|until| (until, number)));
+        self.waits_of
+            .entry(wait.job.clone())
+            .or_default()
+            .push(number);
+        self.waits.insert(number, wait);
     }
 
     fn end_wait(&mut self, number: u64) -> Option<Wait> {
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -6,7 +6,7 @@
 pub use report::from_value as report_from_value;
 
 use crate::clock::millis;
-use crate::core::{Core, Work};
+use crate::core::{Core, InvokerCall};
 use crate::directory::Place;
 use crate::net::{Net, Peer, Token};
 use crate::submission::calls::{self, Submitted};
@@ -52,6 +52,17 @@
     due: Option<Micros>,
 }
 
+impl Link {
+    fn new(worker: WorkerId, errand: Errand, speech: Speech) -> Self {
+        Link {
+            worker,
+            errand,
+            speech: Some(speech),
+            due: None,
+        }
+    }
+}
+
 pub struct Figures {
     pub reads: Reads,
     pub reports: bool,
@@ -88,22 +99,18 @@
     }
 
     /// Makes an invoker call. One that cannot even be begun could not connect.
-    #[allow(clippy::too_many_arguments)]
     pub fn call(
         &mut self,
         now: Micros,
-        (id, attempt): (RequestId, u32),
-        worker: WorkerId,
+        call: &InvokerCall,
         place: Option<&Place>,
-        work: &Work,
-        until: Micros,
         net: &mut Net,
         core: &mut Core,
     ) {
-        let by_submission = self.figures.by_submission.contains(&worker);
+        let (id, attempt, work) = (call.id, call.attempt, &call.work);
+        let remaining = call.until - now;
         let sent = place.is_some_and(|place| {
-            let remaining = until - now;
-            let (bytes, speech) = if by_submission {
+            let (bytes, speech) = if self.figures.by_submission.contains(&call.worker) {
                 let submitted = Submitted::new(&work.txn, self.figures.reads);
                 (
                     calls::request(work, remaining),
@@ -114,8 +121,8 @@
                 let bytes = outcomes::request(work, &place.addr.to_string(), remaining);
                 (bytes, Speech::Http(answer))
             };
-            let errand = Errand::Call(id, attempt);
-            self.say(now, worker, place, errand, speech, &bytes, net)
+            let link = Link::new(call.worker, Errand::Call(id, attempt), speech);
+            self.say(now, place, link, &bytes, net)
         });
         if !sent {
             core.call_ended(now, id, attempt, Outcome::ConnectFailed, None, None);
@@ -137,7 +144,8 @@
         let sent = place.is_some_and(|place| {
             let bytes = outcomes::probe(&place.addr.to_string(), self.figures.reports);
             let speech = Speech::Http(Answer::new(None, self.figures.reads));
-            self.say(now, worker, place, Errand::Probe, speech, &bytes, net)
+            let link = Link::new(worker, Errand::Probe, speech);
+            self.say(now, place, link, &bytes, net)
         });
         if !sent {
             core.probed(now, worker, Outcome::ConnectFailed, None);
@@ -145,18 +153,8 @@
     }
 
     /// Puts a request on an idle connection, or on a new one.
-    #[allow(clippy::too_many_arguments)]
-    fn say(
-        &mut self,
-        now: Micros,
-        worker: WorkerId,
-        place: &Place,
-        errand: Errand,
-        speech: Speech,
-        bytes: &[u8],
-        net: &mut Net,
-    ) -> bool {
-        let Some(token) = self.connection(now, worker, place, net) else {
+    fn say(&mut self, now: Micros, place: &Place, link: Link, bytes: &[u8], net: &mut Net) -> bool {
+        let Some(token) = self.connection(now, link.worker, place, net) else {
             return false;
         };
         if !net.write(token, bytes) {
@@ -164,20 +162,14 @@
             return false;
         }
         let connecting = net.get(token).is_some_and(|conn| conn.is_connecting());
-        let due = match errand {
+        let due = match link.errand {
             _ if connecting => Some(now + self.figures.connect_timeout),
             Errand::Probe => Some(now + PROBE),
             _ => None,
         };
-        if let Errand::Call(id, attempt) = errand {
+        if let Errand::Call(id, attempt) = link.errand {
             self.calls.insert((id, attempt), token);
         }
-        let link = Link {
-            worker,
-            errand,
-            speech: Some(speech),
-            due: None,
-        };
         self.links.insert(token, link);
         self.set_due(token, due);
         true
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -72,7 +72,7 @@
         step: String::new(),
     };
     let text = fs::read_to_string(file).unwrap();
-    let mut lines = text.lines().enumerate().peekable();
+    let mut lines = unrolled(&text).into_iter().peekable();
     while let Some((number, line)) = lines.next() {
         let words: Vec<&str> = line.split_whitespace().collect();
         if words.is_empty() || line.starts_with('#') {
@@ -81,12 +81,34 @@
         player.step = format!("{}:{}: {line}", file.display(), number + 1);
         let mut payload = Vec::new();
         while let Some((_, part)) = lines.next_if(|(_, l)| l.starts_with(['|', ':', '.', '%'])) {
-            payload.extend(player.bytes(part));
+            payload.extend(player.bytes(&part));
         }
         player.act(&words, &payload);
     }
 }
 
+/// The lines with their numbers; those of a `repeat` as often as it says, with {n} counted from 1.
+fn unrolled(text: &str) -> Vec<(usize, String)> {
+    let (mut lines, mut block, mut times) = (Vec::new(), Vec::new(), 0);
+    for (number, line) in text.lines().enumerate() {
+        match line.strip_prefix("repeat ") {
+            Some(count) => times = count.parse().unwrap(),
+            None if line == "end" => {
+                for n in 1..=std::mem::take(&mut times) {
+                    let filled = block
+                        .iter()
+                        .map(|(i, l): &(usize, &str)| (*i, l.replace("{n}", &n.to_string())));
+                    lines.extend(filled);
+                }
+                block.clear();
+            }
+            None if times > 0 => block.push((number, line)),
+            None => lines.push((number, line.to_owned())),
+        }
+    }
+    lines
+}
+
 impl Player {
     fn bytes(&self, line: &str) -> Vec<u8> {
         let (mark, text) = line.split_at(1);
@@ -135,7 +157,7 @@
                 self.connections
                     .get_mut(*name)
                     .unwrap()
-                    .read(Duration::from_millis(100));
+                    .read(Duration::from_millis(20));
                 if !self.connections[*name].got.is_empty() {
                     self.fail("bytes that nobody asked for");
                 }
--- a/node/tests/core.rs
+++ b/node/tests/core.rs
@@ -2,7 +2,7 @@
 
 use marbledeck::{Entry, ListKind, Micros, Outcome, RequestId, WorkerId, ZoneId};
 use marbledeck_facts::{worker_id, Facts};
-use marbledeck_node::core::{Catalogue, Command, Core, Order, Verdict, Work};
+use marbledeck_node::core::{Catalogue, Command, Core, InvokerCall, Order, Verdict, Work};
 use rstest::rstest;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -83,13 +83,13 @@
             let names = &self.names;
             let name = |id: RequestId| names[id.0 as usize].clone();
             told.push(match command {
-                Command::Call {
+                Command::Call(InvokerCall {
                     id,
                     attempt,
                     worker,
                     until,
                     ..
-                } => {
+                }) => {
                     let known = self.workers.iter().position(|w| *w == worker);
                     let place = known.unwrap_or_else(|| {
                         self.workers.push(worker);
