--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -14,6 +14,8 @@
 
 /// Connections taken in one turn.
 const ACCEPTS: usize = 32;
+/// Idle connections that make room when no descriptor is free.
+const SPARED: usize = 8;
 /// How long a listener rests when no descriptor is free.
 const REST: Micros = millis(50);
 /// How long a request may take to come once it has begun.
@@ -113,7 +115,9 @@
                 Err(e) => {
                     // No descriptor or no memory: those that wait are taken a little later.
                     log::warn!("accept: {e}");
-                    self.drop_idle(net);
+                    for _ in 0..SPARED {
+                        self.drop_idle(net);
+                    }
                     return self.rest(now, net);
                 }
             }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -165,6 +165,7 @@
             [name, "closes"] => drop(self.connections.remove(*name)),
             [name, "closed"] => self.closed(name),
             ["log"] => self.logged(payload),
+            ["sleep", ms] => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
             ["terminate"] => {
                 let id = self.child.as_ref().unwrap().id().to_string();
                 let killed = Command::new("kill").args(["-TERM", &id]).status().unwrap();
@@ -191,10 +192,9 @@
     /// Starts the node with these workers; the payload is a front's file, if there is one.
     fn start(&mut self, words: &[&str], front: &[u8]) {
         let (limits, workers): (Vec<&str>, Vec<&str>) = words.iter().partition(|w| w.contains('='));
-        let sockets = limits
-            .first()
-            .and_then(|l| l.strip_prefix("sockets="))
-            .unwrap_or("1024");
+        let limit = |name| limits.iter().find_map(|limit| limit.strip_prefix(name));
+        let sockets = limit("sockets=").unwrap_or("1024");
+        let descriptors = limit("nofile=").unwrap_or("1024");
         ["directory"]
             .iter()
             .chain(&workers)
@@ -212,7 +212,9 @@
         let config = config.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
         let path = self.folder.join("config.json");
         fs::write(&path, config).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_marbledeck"));
+        let mut command = Command::new("sh");
+        let limited = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
+        command.args(["-c", &limited, env!("CARGO_BIN_EXE_marbledeck")]);
         command
             .env("LB_CONFIG", path)
             .env("LB_LISTEN", "127.0.0.1:0")
