Send on what a submitter is still owed once its socket has taken the rest

Checked: the answers stand in the session's outbox; the worker links and the HTTP front have no such queue. Cause: submission/mod.rs, flush(), stopped while the ring held much; the ring was then emptied at once, so that no event told of room. It now writes first and stops only where the socket takes no more, which an event does tell.

--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -216,6 +216,18 @@
         pushed
     }
 
+    /// Whether no more than this is still to be sent. What the socket takes at once does not count: without a
+    /// rest, nothing would tell when there is room again.
+    pub fn has_room(&mut self, token: Token, backlog: usize) -> bool {
+        let Some(conn) = self.get(token) else {
+            return false;
+        };
+        if conn.output.len() > backlog {
+            conn.flush();
+        }
+        conn.output.len() <= backlog
+    }
+
     /// To be called when input was taken from a connection, so that more is read.
     pub fn touch(&mut self, token: Token) {
         self.touched.push(token);
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -154,7 +154,7 @@
             Peer::Submitter => {
                 if let Some(front) = &mut self.submissions {
                     match event.listener {
-                        true => front.accept(&mut self.net),
+                        true => front.accept(now, &mut self.net),
                         false => front.ready(now, token, &mut self.net, &mut self.core),
                     }
                 }
--- a/node/src/submission/mod.rs
+++ b/node/src/submission/mod.rs
@@ -24,6 +24,8 @@
 /// Connections taken in one turn, and lines of one connection handled in one turn.
 const ACCEPTS: usize = 16;
 const LINES: usize = 64;
+/// How long the listener rests when no descriptor is free.
+const REST: Micros = millis(50);
 /// Waits that one submitter may have open.
 const MOST_WAITS: usize = 1024;
 /// An answer is written only when no more than this is still to be sent.
@@ -109,6 +111,8 @@
     /// Begins the ids of this start's jobs, so that they differ from those of any other.
     prefix: String,
     next_job: u64,
+    /// When connections are taken again.
+    resting: Option<Micros>,
     /// The node is to end: no job is taken any more.
     pub ending: bool,
 }
@@ -132,6 +136,7 @@
             more: Vec::new(),
             prefix,
             next_job: 0,
+            resting: None,
             ending: false,
         })
     }
@@ -139,7 +144,7 @@
     pub fn next_wake(&self) -> Option<Micros> {
         let waits = self.waits_due.first().map(|(at, _)| *at);
         let more = (!self.more.is_empty()).then_some(Micros(0));
-        [waits, self.jobs.next_expiry(), more]
+        [waits, self.jobs.next_expiry(), more, self.resting]
             .into_iter()
             .flatten()
             .min()
@@ -147,6 +152,10 @@
 
     pub fn wake(&mut self, now: Micros, net: &mut Net, core: &mut Core) {
         self.jobs.expire(now);
+        if self.resting.is_some_and(|until| until <= now) {
+            self.resting = None;
+            net.listening(self.listener, true);
+        }
         while let Some((_, number)) = self.waits_due.first().copied().filter(|(at, _)| *at <= now) {
             if let Some(wait) = self.end_wait(number) {
                 // The job goes on: only the wait is over.
@@ -159,7 +168,7 @@
         }
     }
 
-    pub fn accept(&mut self, net: &mut Net) {
+    pub fn accept(&mut self, now: Micros, net: &mut Net) {
         for _ in 0..ACCEPTS {
             match net.accept(self.listener) {
                 Ok(None) => return,
@@ -171,7 +180,13 @@
                     let _ = net.write(token, &frame::line(&problem));
                     net.finish(token);
                 }
-                Err(e) => return log::warn!("accept of a submitter: {e}"),
+                Err(e) => {
+                    // No descriptor is free: without a rest, the loop would turn until one is.
+                    log::warn!("accept: {e}");
+                    net.listening(self.listener, false);
+                    self.resting = Some(now + REST);
+                    return;
+                }
             }
         }
     }
@@ -545,10 +560,7 @@
         let Some(session) = self.sessions.get_mut(&token) else {
             return;
         };
-        while net
-            .get(token)
-            .is_some_and(|conn| conn.output.len() <= BACKLOG)
-        {
+        while net.has_room(token, BACKLOG) {
             let line = match session.outbox.pop_front() {
                 None => break,
                 Some(Out::Line(line)) => line,
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -48,16 +48,19 @@
     worker: WorkerId,
     errand: Errand,
     speech: Option<Speech>,
+    /// When its request was handed over.
+    sent: Micros,
     /// When something is to be done about it: connected, probed or idle for too long.
     due: Option<Micros>,
 }
 
 impl Link {
-    fn new(worker: WorkerId, errand: Errand, speech: Speech) -> Self {
+    fn new(worker: WorkerId, errand: Errand, speech: Speech, sent: Micros) -> Self {
         Link {
             worker,
             errand,
             speech: Some(speech),
+            sent,
             due: None,
         }
     }
@@ -121,7 +124,7 @@
                 let bytes = outcomes::request(work, &place.addr.to_string(), remaining);
                 (bytes, Speech::Http(answer))
             };
-            let link = Link::new(call.worker, Errand::Call(id, attempt), speech);
+            let link = Link::new(call.worker, Errand::Call(id, attempt), speech, now);
             self.say(now, place, link, &bytes, net)
         });
         if !sent {
@@ -144,7 +147,7 @@
         let sent = place.is_some_and(|place| {
             let bytes = outcomes::probe(&place.addr.to_string(), self.figures.reports);
             let speech = Speech::Http(Answer::new(None, self.figures.reads));
-            let link = Link::new(worker, Errand::Probe, speech);
+            let link = Link::new(worker, Errand::Probe, speech, now);
             self.say(now, place, link, &bytes, net)
         });
         if !sent {
@@ -261,17 +264,18 @@
             self.drop_link(token, net);
             return;
         }
-        let waited_to_connect = !conn.is_connecting();
+        let connected = !conn.is_connecting();
         let news = match &mut link.speech {
             Some(speech) => speech.read(conn),
             None => News::default(),
         };
         let broken = conn.broken || conn.eof;
         let unsent = !conn.output.is_empty();
-        if waited_to_connect {
+        if connected {
             let due = match link.errand {
                 Errand::Call(..) => None,
-                _ => Some(link.due.unwrap_or(now + PROBE)),
+                Errand::Probe => Some(link.sent + PROBE),
+                Errand::Tail | Errand::Idle => link.due,
             };
             self.set_due(token, due);
         }
