Call a refusal a rejection in the network code

Mechanical, in the house's terms: the core's verdict, its count and the log say rejection; answers of the HTTP front's own are notices. The submission protocol keeps the words served, refused and failed.

--- a/node/src/consumers/intake.rs
+++ b/node/src/consumers/intake.rs
@@ -9,21 +9,21 @@
 
 /// An answer of the front's own: a status and a few words.
 #[derive(Debug, PartialEq, Eq)]
-pub struct Rejected(pub u16, pub String);
+pub struct Notice(pub u16, pub String);
 
-impl From<Fault> for Rejected {
+impl From<Fault> for Notice {
     fn from(fault: Fault) -> Self {
         let status = match fault {
             Fault::Malformed(_) => 400,
             Fault::HeadTooLong => 431,
             Fault::BodyTooLong => 413,
         };
-        Rejected(status, fault.to_string())
+        Notice(status, fault.to_string())
     }
 }
 
-fn bad(what: &str) -> Rejected {
-    Rejected(400, what.to_owned())
+fn bad(what: &str) -> Notice {
+    Notice(400, what.to_owned())
 }
 
 /// A field that goes into a line of the call to the worker: as it came, and not empty.
@@ -33,7 +33,7 @@
 }
 
 /// What is asked for, without its body.
-pub fn order(head: &RequestHead) -> Result<Order<'_>, Rejected> {
+pub fn order(head: &RequestHead) -> Result<Order<'_>, Notice> {
     let txn = named(head, "X-Txn").ok_or_else(|| bad("X-Txn is missing"))?;
     let class = head
         .fields
--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -6,7 +6,7 @@
 use crate::core::{Core, Malformed, Verdict};
 use crate::net::http::{self, Body, RequestHead};
 use crate::net::{Net, Peer, Token};
-use intake::Rejected;
+use intake::Notice;
 use marbledeck::{Micros, RequestId};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -90,7 +90,7 @@
                 .filter(|(_, c)| slow(c))
                 .map(|(token, _)| *token);
             for token in slow.collect::<Vec<_>>() {
-                self.reject(token, &Rejected(408, "the request is too slow".into()), net);
+                self.turn_down(token, &Notice(408, "the request is too slow".into()), net);
             }
         }
     }
@@ -219,7 +219,7 @@
                     let _ = net.write(token, b"HTTP/1.1 100 Continue\r\n\r\n");
                 }
                 Ok(false) => {}
-                Err(fault) => return self.reject(token, &fault.into(), net),
+                Err(fault) => return self.turn_down(token, &fault.into(), net),
             }
             let whole =
                 |c: &Consumer| matches!(&c.stage, Stage::Body(_, body, _) if body.is_done());
@@ -244,17 +244,17 @@
         let path = head.target.split('?').next().unwrap_or_default();
         let taken = match (head.method.as_str(), path) {
             ("GET" | "HEAD", "/ready") => Err(self.readiness(core)),
-            (_, "/ready") => Err(Rejected(405, "only GET".into())),
+            (_, "/ready") => Err(Notice(405, "only GET".into())),
             ("POST", _) => intake::order(&head).and_then(|mut order| {
                 order.work.body = content;
                 core.take_in(now, order)
                     .map_err(|malformed| match malformed {
                         // Nothing of it has run: coming back is harmless.
-                        Malformed::TooMany => Rejected(503, malformed.to_string()),
-                        _ => Rejected(400, malformed.to_string()),
+                        Malformed::TooMany => Notice(503, malformed.to_string()),
+                        _ => Notice(400, malformed.to_string()),
                     })
             }),
-            _ => Err(Rejected(405, "every job comes by POST".into())),
+            _ => Err(Notice(405, "every job comes by POST".into())),
         };
         match taken {
             Ok(id) => {
@@ -263,7 +263,7 @@
                 }
                 self.waiting.insert(id, token);
             }
-            Err(Rejected(status, words)) => {
+            Err(Notice(status, words)) => {
                 let words = if head.method == "HEAD" {
                     String::new()
                 } else {
@@ -281,11 +281,11 @@
         }
     }
 
-    fn readiness(&self, core: &Core) -> Rejected {
+    fn readiness(&self, core: &Core) -> Notice {
         match (self.ending, core.has_workers()) {
-            (true, _) => Rejected(503, "ending".into()),
-            (_, false) => Rejected(503, "no worker is known".into()),
-            _ => Rejected(200, "ready".into()),
+            (true, _) => Notice(503, "ending".into()),
+            (_, false) => Notice(503, "no worker is known".into()),
+            _ => Notice(200, "ready".into()),
         }
     }
 
@@ -305,7 +305,7 @@
         let keep = matches!(stage, Some(Stage::Waiting(_, true))) && !self.ending;
         let (status, retry, body): (_, _, &[u8]) = match verdict {
             Verdict::Served(result) => (200, None, result),
-            Verdict::Refused(retry) => (429, *retry, b"come back later"),
+            Verdict::Rejected(retry) => (429, *retry, b"come back later"),
             Verdict::Failed => (502, None, b"failed"),
         };
         let reply = Reply {
@@ -334,8 +334,8 @@
     }
 
     /// Answers what is no request, and closes: where the next one begins is not known.
-    fn reject(&mut self, token: Token, rejected: &Rejected, net: &mut Net) {
-        let Rejected(status, words) = rejected;
+    fn turn_down(&mut self, token: Token, notice: &Notice, net: &mut Net) {
+        let Notice(status, words) = notice;
         let reply = Reply {
             status: *status,
             retry: None,
--- a/node/src/core/admit.rs
+++ b/node/src/core/admit.rs
@@ -5,8 +5,8 @@
 use marbledeck::{Event, Micros, RequestId};
 
 impl Core {
-    pub(super) fn refuse(&mut self, id: RequestId, come_back: Option<Micros>) {
-        self.finish(id, Verdict::Refused(come_back));
+    pub(super) fn reject(&mut self, id: RequestId, come_back: Option<Micros>) {
+        self.finish(id, Verdict::Rejected(come_back));
     }
 
     pub(super) fn fail(&mut self, id: RequestId) {
--- a/node/src/core/book.rs
+++ b/node/src/core/book.rs
@@ -9,7 +9,7 @@
 pub struct Counts {
     pub taken: u64,
     pub served: u64,
-    pub refused: u64,
+    pub rejected: u64,
     pub failed: u64,
     pub gone: u64,
     pub calls: u64,
@@ -39,11 +39,11 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(
             f,
-            "taken {} served {} refused {} failed {} gone {} duplicates {}; calls {}: full {} unconnected {} \
+            "taken {} served {} rejected {} failed {} gone {} duplicates {}; calls {}: full {} unconnected {} \
              reset {} timed out {} error {}",
             self.taken,
             self.served,
-            self.refused,
+            self.rejected,
             self.failed,
             self.gone,
             self.duplicates,
@@ -65,7 +65,7 @@
         }
         match verdict {
             Verdict::Served(_) => self.counts.served += 1,
-            Verdict::Refused(_) => self.counts.refused += 1,
+            Verdict::Rejected(_) => self.counts.rejected += 1,
             Verdict::Failed => self.counts.failed += 1,
         }
         let sent = self.table.get(id).and_then(|i| i.last_sent());
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -46,7 +46,7 @@
     /// The result that a worker gave for it.
     Served(Vec<u8>),
     /// Trying again is harmless, perhaps after this time.
-    Refused(Option<Micros>),
+    Rejected(Option<Micros>),
     /// Nothing is promised.
     Failed,
 }
@@ -188,7 +188,7 @@
             for action in actions.drain(..) {
                 match action {
                     Action::Send(id, worker, timeout) => self.route(now, id, worker, timeout),
-                    Action::Refuse(id, come_back) => self.refuse(id, come_back),
+                    Action::Refuse(id, come_back) => self.reject(id, come_back),
                     Action::Fail(id) => self.fail(id),
                     Action::Cancel(id, attempt) => self.cancel(now, id, attempt),
                     Action::Probe(worker) => self.commands.push_back(Command::Probe(worker)),
--- a/node/src/submission/jobs.rs
+++ b/node/src/submission/jobs.rs
@@ -239,7 +239,7 @@
                     },
                 );
             }
-            Verdict::Refused(wait) => {
+            Verdict::Rejected(wait) => {
                 let ms = wait.map_or(1000, |wait| wait.0.div_ceil(1000));
                 let problem = Problem::later("refused", ms);
                 self.end(
--- a/node/tests/core.rs
+++ b/node/tests/core.rs
@@ -109,7 +109,7 @@
                 Command::Answer { id, verdict, sent } => {
                     let verdict = match verdict {
                         Verdict::Served(_) => "served".to_owned(),
-                        Verdict::Refused(wait) => format!("refused {:?}", wait.map(Micros::secs)),
+                        Verdict::Rejected(wait) => format!("rejected {:?}", wait.map(Micros::secs)),
                         Verdict::Failed => "failed".to_owned(),
                     };
                     format!(
