--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -82,7 +82,7 @@
     Running(RequestId),
 }
 
-/// A point in time by which the core wants to be woken, and all that it decides and remembers.
+/// All that the node decides and remembers of its invocations.
 pub struct Core {
     dispatcher: Dispatcher,
     catalogue: Catalogue,
