Read the file anew on SIGHUP and move the directory link at once

Checked: main.rs registered SIGTERM only, so SIGHUP had its default action, which ends the process. Ruled out: a panic or a faulty file; the log ends without a word. LB_DISCOVERY stays that of the start, so a reload has to look at the file's own `discovery`, and only a change of it counts.

A faulty file is named in the log and changes nothing. Limits count from then on, other settings from the next start. A step `log` of the exchanges now gives up in time even where the log goes on.

--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -39,7 +39,7 @@
 }
 
 /// The settings as the wire has them.
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub struct Facts {
     pub balancers: u32,
@@ -66,7 +66,7 @@
     pub self_index: u32,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub struct Profile {
     #[serde(default)]
@@ -85,7 +85,7 @@
     pub aim_stretch: f64,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct Bounds {
     pub try_limit: Option<u32>,
@@ -99,7 +99,7 @@
     pub max_open: Option<u32>,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct FamilyInfo {
     pub class_kind: Vec<i64>,
@@ -111,7 +111,7 @@
     pub tells_start: bool,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct RuleFigures {
     pub cold_from: Option<f64>,
@@ -121,13 +121,13 @@
     pub must_ask_in_us: Option<u64>,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(default)]
 pub struct Stats {
     pub how: String,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub struct Party {
     #[serde(default)]
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -73,8 +73,12 @@
     pub name: String,
     pub listen: SocketAddr,
     pub directory: SocketAddr,
+    /// The directory that the file names: a reload looks at this, since the environment stays that of the start.
+    pub directory_in_file: Option<SocketAddr>,
     pub seed: u64,
     pub known: Option<Listing>,
+    /// The settings as they are written, and what they mean to the module.
+    pub facts: Facts,
     pub settings: Settings,
     pub catalogue: Catalogue,
     pub reads: Reads,
@@ -127,6 +131,8 @@
         };
         let listen = address(either("LB_LISTEN", "listen", &file.listen)?)?;
         let directory = address(either("LB_DISCOVERY", "discovery", &file.discovery)?)?;
+        let in_file = file.discovery.clone();
+        let directory_in_file = in_file.map(|text| address(("LB_CONFIG: discovery".into(), text)));
         let seed = match file.seed.as_deref().map(|s| u64::from_str_radix(s, 16)) {
             None => std::process::id().into(),
             Some(Ok(seed)) => seed,
@@ -153,6 +159,7 @@
             name: either("LB_NAME", "name", &file.name)?.1,
             listen,
             directory,
+            directory_in_file: directory_in_file.transpose()?,
             seed,
             known: file.known,
             catalogue: Catalogue::new(&facts, &settings),
@@ -161,8 +168,9 @@
             settings,
             idle: facts.bounds.conn_idle_us.map_or(IDLE, Micros),
             connect_timeout: facts.bounds.connect_timeout_us.map_or(CONNECT, Micros),
-            zones: facts.localities,
-            kinds: facts.kinds,
+            zones: facts.localities.clone(),
+            kinds: facts.kinds.clone(),
+            facts,
             most_consumers: sockets - KEPT - most_worker_connections,
             most_worker_connections,
             log,
--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -40,7 +40,8 @@
 pub struct Consumers {
     listener: Token,
     pub addr: SocketAddr,
-    most: usize,
+    /// Connections that may be held.
+    pub most: usize,
     open: HashMap<Token, Consumer>,
     waiting: HashMap<RequestId, Token>,
     /// The connections between two requests, the longest idle first.
--- a/node/src/directory/mod.rs
+++ b/node/src/directory/mod.rs
@@ -14,6 +14,10 @@
 const WATCH: Micros = millis(10_000);
 /// How much longer than its wait a call may take.
 const GRACE: Micros = millis(2_000);
+/// How long a directory that the node has just moved to may take for the whole list, and the pause before it is
+/// asked once more: what it tells counts as told a few seconds after the move.
+const MOVING: Micros = millis(2_000);
+const PAUSE: Micros = millis(200);
 
 /// A list, or part of one, as the directory writes it.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -64,6 +68,10 @@
     revision: u64,
     places: HashMap<WorkerId, Place>,
     call: Option<Call>,
+    /// The node has moved to another directory, which has not told its list yet.
+    moving: bool,
+    /// When that one is asked again.
+    again: Option<Micros>,
     /// An open connection between two calls.
     idle: Option<Token>,
     /// Workers whose connections are of no more use: gone, moved or started anew.
@@ -79,6 +87,8 @@
             revision: 0,
             places: HashMap::new(),
             call: None,
+            moving: false,
+            again: None,
             idle: None,
             stale: Vec::new(),
         }
@@ -97,13 +107,37 @@
 
     /// When [`Directory::wake`] is next wanted.
     pub fn next_wake(&self) -> Option<Micros> {
-        self.call.as_ref().map(|call| call.until)
+        self.call.as_ref().map(|call| call.until).or(self.again)
     }
 
     pub fn wake(&mut self, now: Micros, net: &mut Net, core: &mut Core) {
-        if self.next_wake().is_some_and(|until| until <= now) {
-            self.fail(now, "no answer in time", net, core);
+        if self.next_wake().is_none_or(|until| until > now) {
+            return;
+        }
+        match self.call {
+            Some(_) => self.fail(now, "no answer in time", net, core),
+            None => self.watch(now, net, core),
+        }
+    }
+
+    /// Goes over to another directory at once: the old one may be about to end. The list stays until the new
+    /// one has told its own, whole, since its revisions may be others.
+    pub fn move_to(&mut self, now: Micros, addr: SocketAddr, net: &mut Net, core: &mut Core) {
+        if addr == self.addr {
+            return;
+        }
+        log::info!("directory: now at {addr}");
+        for token in self
+            .call
+            .take()
+            .map(|call| call.token)
+            .into_iter()
+            .chain(self.idle.take())
+        {
+            net.close(token);
         }
+        (self.addr, self.moving) = (addr, true);
+        self.watch(now, net, core);
     }
 
     /// Begins to watch, unless it does already.
@@ -111,20 +145,26 @@
         if self.call.is_some() {
             return;
         }
+        self.again = None;
         let idle = self.idle.take().filter(|token| net.is_quiet(*token));
         let token = match idle.map_or_else(|| net.connect(self.addr, Peer::Directory), Ok) {
             Ok(token) => token,
             Err(e) => return self.fail(now, &e.to_string(), net, core),
         };
+        let (query, until) = match self.moving {
+            true => (String::new(), now + MOVING),
+            false => (
+                format!("?after={}&wait_ms={}", self.revision, WATCH.0 / 1000),
+                now + WATCH + GRACE,
+            ),
+        };
         let request = format!(
-            "GET /v1/endpoints?after={}&wait_ms={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-            self.revision,
-            WATCH.0 / 1000,
+            "GET /v1/endpoints{query} HTTP/1.1\r\nHost: {}\r\n\r\n",
             self.addr
         );
         self.call = Some(Call {
             token,
-            until: now + WATCH + GRACE,
+            until,
             head: None,
             content: Vec::new(),
         });
@@ -190,7 +230,7 @@
     }
 
     fn told(&mut self, now: Micros, listing: Listing, core: &mut Core) {
-        self.revision = listing.revision;
+        (self.revision, self.moving) = (listing.revision, false);
         let kind = match listing.complete {
             true => ListKind::Full,
             false => ListKind::Delta,
@@ -199,12 +239,18 @@
         core.listed(now, kind, entries);
     }
 
-    /// The call has failed: the list stays, and the dispatcher says when to ask again.
+    /// The call has failed: the list stays, and the dispatcher says when to ask again. Not so while the node
+    /// moves: the dispatcher's pause may be longer than the time in which the new directory is to be heard.
     fn fail(&mut self, now: Micros, what: &str, net: &mut Net, core: &mut Core) {
-        log::warn!("directory: {what}");
         if let Some(call) = self.call.take() {
             net.close(call.token);
         }
+        if self.moving {
+            log::warn!("directory: {what}; asked again in {} ms", PAUSE.0 / 1000);
+            self.again = Some(now + PAUSE);
+            return;
+        }
+        log::warn!("directory: {what}");
         core.listed(now, ListKind::Failed, Vec::new());
     }
 
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -40,7 +40,10 @@
     Worker,
     Directory,
     Submitter,
-    Signal,
+    /// SIGTERM.
+    End,
+    /// SIGHUP.
+    Reload,
 }
 
 enum Socket {
@@ -140,9 +143,9 @@
         Ok((self.enter(peer, Socket::Listener(fd))?, bound))
     }
 
-    /// Watches the reading end of the signals' pipe.
-    pub fn signals(&mut self, fd: OwnedFd) -> io::Result<Token> {
-        self.enter(Peer::Signal, Socket::Signal(fd))
+    /// Watches the reading end of a signal's pipe.
+    pub fn signal(&mut self, fd: OwnedFd, signal: Peer) -> io::Result<Token> {
+        self.enter(signal, Socket::Signal(fd))
     }
 
     /// Takes the next connection that waits at a listener, if any.
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,7 +1,7 @@
 //! The node: the core with its fronts and links round one loop.
 
 use crate::clock::{millis, Clock};
-use crate::config::{Config, SubmissionConfig};
+use crate::config::{Config, ConfigError, SubmissionConfig};
 use crate::consumers::Consumers;
 use crate::core::{Command, Core};
 use crate::directory::Directory;
@@ -9,8 +9,9 @@
 use crate::submission::Submissions;
 use crate::workers::{Figures, Workers};
 use marbledeck::Micros;
-use marbledeck_facts::worker_id;
+use marbledeck_facts::{worker_id, Facts};
 use std::io;
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 
 /// For so long after SIGTERM new connections are taken: fronts notice with some delay.
@@ -20,6 +21,17 @@
 /// How often the counts are logged.
 const COUNTS: Micros = millis(10_000);
 
+/// The pipes that become readable at a signal.
+pub struct Signals {
+    /// SIGTERM.
+    pub end: UnixStream,
+    /// SIGHUP.
+    pub reload: UnixStream,
+}
+
+/// Reads the configuration as it is now.
+pub type Read = Box<dyn Fn() -> Result<Config, ConfigError>>;
+
 pub struct Node {
     clock: Clock,
     net: Net,
@@ -28,7 +40,12 @@
     workers: Workers,
     directory: Directory,
     submissions: Option<Submissions>,
-    signals: UnixStream,
+    submitters: usize,
+    signals: Signals,
+    read: Read,
+    /// What the file said when it was last read: only a change of it is acted upon.
+    directory_in_file: Option<SocketAddr>,
+    facts: Facts,
     /// When the next step of the end is due, once SIGTERM has come.
     ending: Option<Micros>,
     /// No connection is taken any more.
@@ -36,21 +53,32 @@
     next_counts: Micros,
 }
 
+/// The submitters' descriptors come off the consumers'.
+fn most_consumers(most: usize, submitters: usize) -> usize {
+    most.saturating_sub(submitters).max(1)
+}
+
+/// Takes what a signal's pipe holds: several signals that have come by now are one.
+fn drain(pipe: &mut UnixStream) {
+    let mut bytes = [0u8; 16];
+    while matches!(io::Read::read(pipe, &mut bytes), Ok(n) if n > 0) {}
+}
+
 impl Node {
-    /// Listens, and starts from the list that the configuration has. `signals` becomes readable on SIGTERM.
+    /// Listens, and starts from the list that the configuration has; SIGHUP reads it anew through `read`.
     pub fn new(
         config: Config,
         submission: Option<SubmissionConfig>,
-        signals: UnixStream,
+        signals: Signals,
+        read: Read,
     ) -> io::Result<Self> {
         let clock = Clock::start();
         let now = clock.now();
         let mut net = Net::new()?;
         let core = Core::new(config.settings, config.catalogue, config.seed, now);
         let mut core = core.map_err(io::Error::other)?;
-        // The submitters' descriptors come off the consumers'.
         let submitters = submission.as_ref().map_or(0, |front| front.max_submitters);
-        let most_consumers = config.most_consumers.saturating_sub(submitters).max(1);
+        let most_consumers = most_consumers(config.most_consumers, submitters);
         let consumers = Consumers::new(config.listen, most_consumers, &mut net)?;
         let spoken_to = submission.iter().flat_map(|front| &front.workers);
         let by_submission = spoken_to.map(|word| worker_id(word)).collect();
@@ -71,8 +99,8 @@
         });
         let mut directory = Directory::new(config.directory, config.zones, config.kinds);
         directory.known(now, config.known.unwrap_or_default(), &mut core);
-        signals.set_nonblocking(true)?;
-        net.signals(signals.try_clone()?.into())?;
+        net.signal(signals.end.try_clone()?.into(), Peer::End)?;
+        net.signal(signals.reload.try_clone()?.into(), Peer::Reload)?;
         log::info!("{} serves at {}", config.name, consumers.addr);
         Ok(Node {
             clock,
@@ -82,7 +110,11 @@
             workers,
             directory,
             submissions,
+            submitters,
             signals,
+            read,
+            directory_in_file: config.directory_in_file,
+            facts: config.facts,
             ending: None,
             closed: false,
             next_counts: now + COUNTS,
@@ -159,15 +191,15 @@
                     }
                 }
             }
-            Peer::Signal => self.end(now),
+            Peer::End => self.end(now),
+            Peer::Reload => self.reload(now),
         }
         self.carry_out(now);
     }
 
     /// SIGTERM: what is open is finished, and what still comes is served.
     fn end(&mut self, now: Micros) {
-        let mut drained = [0u8; 16];
-        while matches!(io::Read::read(&mut self.signals, &mut drained), Ok(n) if n > 0) {}
+        drain(&mut self.signals.end);
         if self.ending.is_none() {
             log::info!("ending");
             self.ending = Some(now + ENDING);
@@ -178,6 +210,27 @@
         }
     }
 
+    /// SIGHUP: the file is read anew. What is faulty changes nothing, and nothing that is open is touched.
+    fn reload(&mut self, now: Micros) {
+        drain(&mut self.signals.reload);
+        let config = match (self.read)() {
+            Ok(config) => config,
+            Err(e) => return log::error!("reload: {e}; all stays as it was"),
+        };
+        if config.facts != self.facts {
+            log::warn!("reload: other settings count from the next start");
+        }
+        self.consumers.most = most_consumers(config.most_consumers, self.submitters);
+        self.workers.set_most(config.most_worker_connections);
+        let named = config.directory_in_file;
+        if let Some(addr) = named.filter(|_| named != self.directory_in_file) {
+            self.directory_in_file = named;
+            self.directory
+                .move_to(now, addr, &mut self.net, &mut self.core);
+        }
+        log::info!("reload: done");
+    }
+
     fn is_over(&mut self, now: Micros) -> bool {
         if self.ending.is_some_and(|due| due <= now) {
             self.ending = Some(now + HALF_READ);
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// How many connections may be held from now on; those that are open stay.
+    pub fn set_most(&mut self, most: usize) {
+        self.figures.most = most;
+    }
+
     pub fn next_wake(&self) -> Option<Micros> {
         self.due.first().map(|(at, _)| *at)
     }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -39,6 +39,8 @@
     connections: HashMap<String, Connection>,
     /// Addresses, and what was read in a `<name>`.
     values: HashMap<String, String>,
+    /// What the node's file said at the start.
+    config: String,
     child: Option<Child>,
     log: Option<Receiver<String>>,
     step: String,
@@ -67,6 +69,7 @@
             ("60k".to_owned(), "y".repeat(61440)),
         ]
         .into(),
+        config: String::new(),
         child: None,
         log: None,
         step: String::new(),
@@ -166,11 +169,16 @@
             [name, "closed"] => self.closed(name),
             ["log"] => self.logged(payload),
             ["sleep", ms] => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
-            ["terminate"] => {
-                let id = self.child.as_ref().unwrap().id().to_string();
-                let killed = Command::new("kill").args(["-TERM", &id]).status().unwrap();
-                assert!(killed.success());
+            ["listen", name] => self.listen(name),
+            ["reload", rest @ ..] => {
+                let text = match rest {
+                    [name] => self.config.replace("127.0.0.1:1", &self.values[*name]),
+                    _ => String::from_utf8_lossy(payload).into_owned(),
+                };
+                fs::write(self.folder.join("config.json"), text).unwrap();
+                self.signal("-HUP");
             }
+            ["terminate"] => self.signal("-TERM"),
             ["ends"] => {
                 let status = self.child.take().unwrap().wait().unwrap();
                 if !status.success() {
@@ -181,6 +189,12 @@
         }
     }
 
+    fn signal(&self, signal: &str) {
+        let id = self.child.as_ref().unwrap().id().to_string();
+        let sent = Command::new("kill").args([signal, &id]).status().unwrap();
+        assert!(sent.success());
+    }
+
     fn listen(&mut self, name: &str) {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
@@ -211,7 +225,8 @@
         let config = config.replace("\"MEMBERS\"", &members.join(","));
         let config = config.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
         let path = self.folder.join("config.json");
-        fs::write(&path, config).unwrap();
+        fs::write(&path, &config).unwrap();
+        self.config = config;
         let mut command = Command::new("sh");
         let limited = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
         command.args(["-c", &limited, env!("CARGO_BIN_EXE_marbledeck")]);
@@ -296,7 +311,8 @@
     fn logged(&mut self, pattern: &[u8]) {
         let pattern = String::from_utf8_lossy(pattern).trim_end().to_owned();
         let log = self.log.take().expect("started");
-        while let Ok(line) = log.recv_timeout(PATIENCE) {
+        let until = Instant::now() + PATIENCE;
+        while let Ok(line) = log.recv_timeout(until.saturating_duration_since(Instant::now())) {
             let from = line.find(pattern.split('<').next().unwrap());
             let found = from
                 .and_then(|from| matched(&format!("{pattern}\n"), &format!("{}\n", &line[from..])));
