Hold consumers to time, memory and descriptors; refuse an id that is open

Checked: a trace of what workers answered with errors. All 315 bad requests that reached workers bore the id of an open request of another consumer; the worker turned each away, and the dispatcher rested that worker for it, from 0.5 s up.

At fault: Core::take_in did not know ids; Consumers::wake timed requests from their first byte; net::RING let each consumer fill 192 KiB while its request waits; net::wait read all connections of a turn before any was handled; a connection being closed had no end if its peer read nothing, and counted for nobody; Body::of took two lengths that agree; config.rs did not read memory_mb and gave consumers three fifths of the descriptors.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -12,6 +12,10 @@
 
 /// Descriptors kept for the epoll, the standard streams, listeners, the directory and the signals' pipe.
 const KEPT: usize = 48;
+/// Memory that the node takes without any body, and the part of the rest that bodies may take: each may be held
+/// up to three times, as it came, in the buffer to a worker and in what that had to grow from.
+const KEPT_MB: usize = 16;
+const BODIES: usize = 4;
 /// Idle connections to workers are closed by these by default, and connects given up after that.
 const IDLE: Micros = Micros(5_000_000);
 const CONNECT: Micros = Micros(250_000);
@@ -60,11 +64,15 @@
 #[serde(default)]
 struct FileLimits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for FileLimits {
     fn default() -> Self {
-        FileLimits { sockets: 1024 }
+        FileLimits {
+            sockets: 1024,
+            memory_mb: 192,
+        }
     }
 }
 
@@ -91,6 +99,8 @@
     pub connect_timeout: Micros,
     pub most_consumers: usize,
     pub most_worker_connections: usize,
+    /// Bytes that the bodies of requests may take together.
+    pub bodies: usize,
     pub log: log::LevelFilter,
 }
 
@@ -154,7 +164,15 @@
                 format_args!("want {} or more", 2 * KEPT),
             );
         }
-        let most_worker_connections = (sockets - KEPT) * 2 / 5;
+        // The platform's own consumers take a third at most, and each of their jobs one call at a time.
+        let most_consumers = sockets * 2 / 5;
+        let memory_mb = file.limits.memory_mb;
+        if memory_mb < 2 * KEPT_MB {
+            return err(
+                "LB_CONFIG: limits.memory_mb",
+                format_args!("want {} or more", 2 * KEPT_MB),
+            );
+        }
         Ok(Config {
             name: either("LB_NAME", "name", &file.name)?.1,
             listen,
@@ -171,8 +189,9 @@
             zones: facts.localities.clone(),
             kinds: facts.kinds.clone(),
             facts,
-            most_consumers: sockets - KEPT - most_worker_connections,
-            most_worker_connections,
+            most_consumers,
+            most_worker_connections: sockets - KEPT - most_consumers,
+            bodies: (memory_mb - KEPT_MB) * 1024 * 1024 / BODIES,
             log,
         })
     }
--- a/node/src/consumers/intake.rs
+++ b/node/src/consumers/intake.rs
@@ -6,6 +6,8 @@
 
 /// The longest that a consumer may say it waits.
 const LONGEST_MS: u64 = 24 * 3600 * 1000;
+/// The longest id, key or target.
+const LONGEST_WORD: usize = 2048;
 
 /// An answer of the front's own: a status and a few words.
 #[derive(Debug, PartialEq, Eq)]
@@ -26,15 +28,27 @@
     Notice(400, what.to_owned())
 }
 
-/// A field that goes into a line of the call to the worker: as it came, and not empty.
-fn named(head: &RequestHead, name: &str) -> Option<String> {
-    let value = head.fields.get(name).filter(|value| !value.is_empty());
-    value.map(str::to_owned)
+/// Whether a word that is passed on can stand in a head: visible characters only, and not too many of them. Any
+/// other may be what a worker cannot read, and it would close on this node and not on the one who sent it.
+fn passes(word: &str) -> bool {
+    (1..=LONGEST_WORD).contains(&word.len()) && word.bytes().all(|b| b.is_ascii_graphic())
+}
+
+/// A field that goes into a line of the call to the worker: as it came, once and not empty.
+fn named(head: &RequestHead, name: &str) -> Result<Option<String>, Notice> {
+    match head.fields.get(name) {
+        Some(value) if passes(value) => Ok(Some(value.to_owned())),
+        None if !head.fields.has(name) => Ok(None),
+        _ => Err(bad(&format!("{name} wants one word"))),
+    }
 }
 
 /// What is asked for, without its body.
 pub fn order(head: &RequestHead) -> Result<Order<'_>, Notice> {
-    let txn = named(head, "X-Txn").ok_or_else(|| bad("X-Txn is missing"))?;
+    let txn = named(head, "X-Txn")?.ok_or_else(|| bad("X-Txn is missing"))?;
+    if !passes(&head.target) || !head.target.starts_with('/') {
+        return Err(bad("the target wants a path"));
+    }
     let class = head
         .fields
         .get("X-Lane")
@@ -71,7 +85,7 @@
         memory,
         work: Work {
             txn,
-            key: named(head, "Idempotency-Key"),
+            key: named(head, "Idempotency-Key")?,
             method: head.method.clone(),
             target: head.target.clone(),
             body: Vec::new(),
--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -8,33 +8,51 @@
 use crate::net::{Net, Peer, Token};
 use intake::Notice;
 use marbledeck::{Micros, RequestId};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 
 /// Connections taken in one turn.
 const ACCEPTS: usize = 32;
-/// Idle connections that make room when no descriptor is free.
+/// Connections that make room when no descriptor is free.
 const SPARED: usize = 8;
+/// An answer is written, and the next request read, only when no more than this is still to be sent.
+const BACKLOG: usize = 16 * 1024;
+/// A body up to this needs no room in the pot: few are larger, and those must not shut the others out.
+const SMALL: usize = 4 * 1024;
 /// How long a listener rests when no descriptor is free.
 const REST: Micros = millis(50);
-/// How long a request may take to come once it has begun.
-const SLOW: Micros = millis(30_000);
+/// How long a request may take to come: the first from the accept on, any other once it has begun. Who hands
+/// over jobs sends each in one go; who says nothing, or half of something, is not to hold a descriptor.
+const SLOW: Micros = millis(2_500);
 
 enum Stage {
-    /// Nothing has come of the next request, since then.
+    /// Nothing has come of the next request.
     Idle,
     Head,
     Body(Box<RequestHead>, Body, Vec<u8>),
     Waiting(RequestId, bool),
 }
 
+/// What a connection is worth when another wants its descriptor; the first is closed first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Spare {
+    /// It has never said anything.
+    Silent,
+    /// It has sent a part of a request.
+    HalfRead,
+    /// It is between two requests.
+    Idle,
+}
+
 struct Consumer {
     stage: Stage,
-    /// When its stage began.
-    since: Micros,
-    /// Its place among the idle ones.
-    order: u64,
+    /// Its place among those that can be spared; none while its request waits for an answer.
+    spare: Option<(Spare, u64)>,
+    /// Counts its requests, so that an entry of [`Consumers::due`] is known to be out of date.
+    request: u64,
+    /// What its body may take of the pot.
+    held: usize,
 }
 
 pub struct Consumers {
@@ -44,17 +62,21 @@
     pub most: usize,
     open: HashMap<Token, Consumer>,
     waiting: HashMap<RequestId, Token>,
-    /// The connections between two requests, the longest idle first.
-    idle: BTreeMap<u64, Token>,
+    /// The connections that make room for others, in that order.
+    spare: BTreeMap<(Spare, u64), Token>,
     turns: u64,
+    /// When the request of this number must have come wholly, the earliest first.
+    due: VecDeque<(Micros, Token, u64)>,
+    /// Bytes that bodies over [`SMALL`] may take together, and what those take that have not wholly come.
+    pub pot: usize,
+    held: usize,
     resting: Option<Micros>,
-    next_sweep: Micros,
     /// The node is to end: no connection is kept.
     pub ending: bool,
 }
 
 impl Consumers {
-    pub fn new(addr: SocketAddr, most: usize, net: &mut Net) -> io::Result<Self> {
+    pub fn new(addr: SocketAddr, most: usize, pot: usize, net: &mut Net) -> io::Result<Self> {
         let (listener, addr) = net.listen(addr, Peer::Consumer)?;
         Ok(Consumers {
             listener,
@@ -62,17 +84,19 @@
             most,
             open: HashMap::new(),
             waiting: HashMap::new(),
-            idle: BTreeMap::new(),
+            spare: BTreeMap::new(),
             turns: 0,
+            due: VecDeque::new(),
+            pot,
+            held: 0,
             resting: None,
-            next_sweep: Micros(0),
             ending: false,
         })
     }
 
     pub fn next_wake(&self) -> Option<Micros> {
-        let sweep = (!self.open.is_empty()).then_some(self.next_sweep);
-        [self.resting, sweep].into_iter().flatten().min()
+        let due = self.due.front().map(|(at, ..)| *at);
+        [self.resting, due].into_iter().flatten().min()
     }
 
     pub fn wake(&mut self, now: Micros, net: &mut Net) {
@@ -80,18 +104,13 @@
             self.resting = None;
             net.listening(self.listener, true);
         }
-        if now >= self.next_sweep {
-            self.next_sweep = now + millis(1000);
-            let slow = |c: &Consumer| {
-                matches!(c.stage, Stage::Head | Stage::Body(..)) && now - c.since > SLOW
-            };
-            let slow = self
-                .open
-                .iter()
-                .filter(|(_, c)| slow(c))
-                .map(|(token, _)| *token);
-            for token in slow.collect::<Vec<_>>() {
-                self.turn_down(token, &Notice(408, "the request is too slow".into()), net);
+        while let Some((_, token, request)) = self.due.pop_front_if(|(at, ..)| *at <= now) {
+            match self.open.get(&token) {
+                Some(consumer) if consumer.request == request => match consumer.stage {
+                    Stage::Idle => self.drop_consumer(token, net),
+                    _ => self.turn_down(token, &Notice(408, "the request is too slow".into()), net),
+                },
+                _ => {}
             }
         }
     }
@@ -99,7 +118,7 @@
     /// Takes the connections that wait, as many as may be held.
     pub fn accept(&mut self, now: Micros, net: &mut Net) {
         for _ in 0..ACCEPTS {
-            if self.open.len() >= self.most && !self.drop_idle(net) {
+            if self.open.len() + net.leaving() >= self.most && !self.make_room(net) {
                 return self.rest(now, net);
             }
             match net.accept(self.listener) {
@@ -107,17 +126,19 @@
                 Ok(Some(token)) => {
                     let new = Consumer {
                         stage: Stage::Idle,
-                        since: now,
-                        order: 0,
+                        spare: None,
+                        request: 0,
+                        held: 0,
                     };
                     self.open.insert(token, new);
-                    self.set_idle(now, token);
+                    self.set_spare(token, Some(Spare::Silent));
+                    self.set_due(now, token);
                 }
                 Err(e) => {
                     // No descriptor or no memory: those that wait are taken a little later.
                     log::warn!("accept: {e}");
                     for _ in 0..SPARED {
-                        self.drop_idle(net);
+                        self.make_room(net);
                     }
                     return self.rest(now, net);
                 }
@@ -130,19 +151,35 @@
         self.resting = Some(now + REST);
     }
 
-    /// Closes the connection that has been idle for longest, to make room.
-    fn drop_idle(&mut self, net: &mut Net) -> bool {
-        let longest = self.idle.first_key_value().map(|(_, token)| *token);
-        longest
-            .map(|token| self.drop_consumer(token, net))
-            .is_some()
+    /// Closes a connection to make room: one that has its answer already, else one that has said nothing or only
+    /// a part for longest, else the longest idle. One on which something has come meanwhile is left alone.
+    fn make_room(&mut self, net: &mut Net) -> bool {
+        if net.leaving() > 0 {
+            net.hasten();
+            return true;
+        }
+        let mut spare = self.spare.iter();
+        let found =
+            spare.find(|((spare, _), token)| *spare == Spare::HalfRead || net.is_quiet(**token));
+        let found = found.map(|(_, token)| *token);
+        found.map(|token| self.drop_consumer(token, net)).is_some()
     }
 
-    fn set_idle(&mut self, now: Micros, token: Token) {
-        self.turns += 1;
+    fn set_spare(&mut self, token: Token, spare: Option<Spare>) {
         if let Some(consumer) = self.open.get_mut(&token) {
-            (consumer.stage, consumer.since, consumer.order) = (Stage::Idle, now, self.turns);
-            self.idle.insert(self.turns, token);
+            self.turns += 1;
+            let new = spare.map(|spare| (spare, self.turns));
+            if let Some(old) = std::mem::replace(&mut consumer.spare, new) {
+                self.spare.remove(&old);
+            }
+            self.spare.extend(new.map(|new| (new, token)));
+        }
+    }
+
+    /// The request that is awaited must have come by then.
+    fn set_due(&mut self, now: Micros, token: Token) {
+        if let Some(consumer) = self.open.get(&token) {
+            self.due.push_back((now + SLOW, token, consumer.request));
         }
     }
 
@@ -153,7 +190,10 @@
 
     fn forget(&mut self, token: Token) -> Option<Consumer> {
         let consumer = self.open.remove(&token)?;
-        self.idle.remove(&consumer.order);
+        if let Some(spare) = consumer.spare {
+            self.spare.remove(&spare);
+        }
+        self.held -= consumer.held;
         if let Stage::Waiting(id, _) = consumer.stage {
             self.waiting.remove(&id);
         }
@@ -180,6 +220,9 @@
     /// Reads on until a request is whole, or nothing more has come.
     fn read(&mut self, now: Micros, token: Token, net: &mut Net, core: &mut Core) {
         while let Some(consumer) = self.open.get_mut(&token) {
+            if matches!(consumer.stage, Stage::Waiting(..)) || !net.has_room(token, BACKLOG) {
+                return;
+            }
             let Some(conn) = net.get(token) else {
                 return;
             };
@@ -187,8 +230,13 @@
                 Stage::Waiting(..) => return,
                 Stage::Idle if conn.input.is_empty() => return,
                 Stage::Idle => {
-                    (consumer.stage, consumer.since) = (Stage::Head, now);
-                    self.idle.remove(&consumer.order);
+                    consumer.stage = Stage::Head;
+                    // The time for the first request runs since the accept.
+                    let first = matches!(consumer.spare, Some((Spare::Silent, _)));
+                    self.set_spare(token, Some(Spare::HalfRead));
+                    if !first {
+                        self.set_due(now, token);
+                    }
                     continue;
                 }
                 Stage::Head => match http::request_head(conn.input.all()) {
@@ -196,6 +244,11 @@
                     Ok(Some((head, used))) => {
                         conn.input.consume(used);
                         Body::of_request(&head.fields).map(|body| {
+                            consumer.held = match body.longest() {
+                                n if n > SMALL => n,
+                                _ => 0,
+                            };
+                            self.held += consumer.held;
                             let expects = head.fields.get("Expect");
                             let expects =
                                 expects.is_some_and(|e| e.eq_ignore_ascii_case("100-continue"));
@@ -222,6 +275,11 @@
                 Ok(false) => {}
                 Err(fault) => return self.turn_down(token, &fault.into(), net),
             }
+            let large = self.open.get(&token).is_some_and(|c| c.held > 0);
+            if large && self.held + core.held() > self.pot {
+                let notice = Notice(503, "too many large bodies".into());
+                return self.turn_down(token, &notice, net);
+            }
             let whole =
                 |c: &Consumer| matches!(&c.stage, Stage::Body(_, body, _) if body.is_done());
             if self.open.get(&token).is_some_and(whole) {
@@ -241,6 +299,8 @@
         let Stage::Body(head, _, content) = stage else {
             return;
         };
+        consumer.request += 1;
+        self.held -= std::mem::take(&mut consumer.held);
         let keep = head.keep_alive && !self.ending;
         let path = head.target.split('?').next().unwrap_or_default();
         let taken = match (head.method.as_str(), path) {
@@ -252,6 +312,7 @@
                     .map_err(|malformed| match malformed {
                         // Nothing of it has run: coming back is harmless.
                         Malformed::TooMany => Notice(503, malformed.to_string()),
+                        Malformed::IdOpen => Notice(409, malformed.to_string()),
                         _ => Notice(400, malformed.to_string()),
                     })
             }),
@@ -260,8 +321,9 @@
         match taken {
             Ok(id) => {
                 if let Some(consumer) = self.open.get_mut(&token) {
-                    (consumer.stage, consumer.since) = (Stage::Waiting(id, head.keep_alive), now);
+                    consumer.stage = Stage::Waiting(id, head.keep_alive);
                 }
+                self.set_spare(token, None);
                 self.waiting.insert(id, token);
             }
             Err(Notice(status, words)) => {
@@ -270,14 +332,13 @@
                 } else {
                     words
                 };
-                let retry = (status == 503).then_some(Micros(1_000_000));
                 let reply = Reply {
                     status,
-                    retry,
+                    retry: retry(status),
                     body: words.as_bytes(),
                     keep,
                 };
-                self.say(now, token, &reply, net);
+                self.say(token, &reply, net);
             }
         }
     }
@@ -315,19 +376,22 @@
             body,
             keep,
         };
-        self.say(now, token, &reply, net);
+        self.say(token, &reply, net);
         // A request that was sent behind this one waits to be read.
         self.read(now, token, net, core);
         true
     }
 
     /// Answers, and keeps the connection for the next request or closes it.
-    fn say(&mut self, now: Micros, token: Token, reply: &Reply, net: &mut Net) {
+    fn say(&mut self, token: Token, reply: &Reply, net: &mut Net) {
         if !net.write(token, &reply.bytes()) {
             return self.drop_consumer(token, net);
         }
         if reply.keep {
-            self.set_idle(now, token);
+            if let Some(consumer) = self.open.get_mut(&token) {
+                consumer.stage = Stage::Idle;
+            }
+            self.set_spare(token, Some(Spare::Idle));
         } else {
             self.forget(token);
             net.finish(token);
@@ -339,39 +403,44 @@
         let Notice(status, words) = notice;
         let reply = Reply {
             status: *status,
-            retry: None,
+            retry: retry(*status),
             body: words.as_bytes(),
             keep: false,
         };
-        self.say(Micros(0), token, &reply, net);
+        self.say(token, &reply, net);
     }
 
     /// Stops taking connections and closes those between two requests.
     pub fn close_idle(&mut self, net: &mut Net) {
         net.close(self.listener);
         self.resting = None;
-        while self.drop_idle(net) {}
+        self.drop_all(|stage| matches!(stage, Stage::Idle), net);
     }
 
     /// Closes the connections on which a request has not wholly come: it was not taken.
     pub fn drop_half_read(&mut self, net: &mut Net) {
-        let half = |c: &Consumer| matches!(c.stage, Stage::Head | Stage::Body(..));
-        let half = self
-            .open
-            .iter()
-            .filter(|(_, c)| half(c))
-            .map(|(token, _)| *token);
-        for token in half.collect::<Vec<_>>() {
+        self.drop_all(|stage| matches!(stage, Stage::Head | Stage::Body(..)), net);
+    }
+
+    fn drop_all(&mut self, which: impl Fn(&Stage) -> bool, net: &mut Net) {
+        let all = self.open.iter().filter(|(_, c)| which(&c.stage));
+        for token in all.map(|(token, _)| *token).collect::<Vec<_>>() {
             self.drop_consumer(token, net);
         }
     }
 
     /// Whether no request is half read or without its answer.
     pub fn is_idle(&self) -> bool {
-        self.open.len() == self.idle.len()
+        let idle = |c: &Consumer| matches!(c.stage, Stage::Idle);
+        self.open.values().all(idle)
     }
 }
 
+/// When to come back after an answer of the front's own: where it is busy, ending or not ready.
+fn retry(status: u16) -> Option<Micros> {
+    (status == 503).then_some(millis(1000))
+}
+
 /// An answer to a consumer.
 struct Reply<'a> {
     status: u16,
@@ -409,6 +478,7 @@
         200 => "OK",
         400 => "Bad Request",
         405 => "Method Not Allowed",
+        409 => "Conflict",
         408 => "Request Timeout",
         413 => "Content Too Large",
         429 => "Too Many Requests",
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -172,6 +172,11 @@
         self.table.unanswered() == 0
     }
 
+    /// How many bytes the bodies of the invocations take that are not over.
+    pub fn held(&self) -> usize {
+        self.table.bytes()
+    }
+
     pub fn catalogue(&self) -> &Catalogue {
         &self.catalogue
     }
--- a/node/src/core/table.rs
+++ b/node/src/core/table.rs
@@ -2,7 +2,7 @@
 
 use super::Work;
 use marbledeck::{Micros, RequestId, WorkerId};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 pub struct Call {
@@ -33,6 +33,10 @@
     map: HashMap<RequestId, Invocation>,
     next: u64,
     unanswered: usize,
+    /// The consumers' ids of all that is held.
+    txns: HashSet<String>,
+    /// Bytes of all bodies held.
+    bytes: usize,
 }
 
 impl Table {
@@ -40,6 +44,8 @@
     pub fn enter(&mut self, work: Work, deadline: Micros) -> RequestId {
         let id = RequestId(self.next);
         self.next += 1;
+        self.txns.insert(work.txn.clone());
+        self.bytes += work.body.len();
         let new = Invocation {
             work: Rc::new(work),
             deadline,
@@ -75,9 +81,23 @@
     /// Drops an invocation that is answered and has no call out.
     pub fn forget(&mut self, id: RequestId) {
         let over = |i: &Invocation| i.answered && i.calls.iter().all(|c| !c.out);
-        if self.map.get(&id).is_some_and(over) {
-            self.map.remove(&id);
+        if !self.map.get(&id).is_some_and(over) {
+            return;
         }
+        if let Some(old) = self.map.remove(&id) {
+            self.txns.remove(&old.work.txn);
+            self.bytes -= old.work.body.len();
+        }
+    }
+
+    /// Whether an invocation of this id is held.
+    pub fn has(&self, txn: &str) -> bool {
+        self.txns.contains(txn)
+    }
+
+    /// How many bytes the bodies of all that is held take.
+    pub fn bytes(&self) -> usize {
+        self.bytes
     }
 
     pub fn unanswered(&self) -> usize {
--- a/node/src/core/take_in.rs
+++ b/node/src/core/take_in.rs
@@ -30,6 +30,8 @@
     UnknownTenant(String),
     MissingKey,
     NoTimeLeft,
+    /// Another invocation of this id is open.
+    IdOpen,
     TooMany,
 }
 
@@ -40,6 +42,7 @@
             Malformed::UnknownTenant(name) => write!(f, "unknown tenant '{name}'"),
             Malformed::MissingKey => f.write_str("this class needs a key"),
             Malformed::NoTimeLeft => f.write_str("no time is left"),
+            Malformed::IdOpen => f.write_str("this id is open"),
             Malformed::TooMany => f.write_str("too many invocations are open"),
         }
     }
@@ -97,6 +100,10 @@
         if order.time_left == Micros(0) {
             return Err(Malformed::NoTimeLeft);
         }
+        // Workers and the rules know an invocation by its id: a second one would be taken for a copy of the first.
+        if self.table.has(&order.work.txn) {
+            return Err(Malformed::IdOpen);
+        }
         if self.table.unanswered() >= self.catalogue.max_open {
             return Err(Malformed::TooMany);
         }
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -8,6 +8,8 @@
 
 /// Bytes read from one connection in one turn: the others and the timers wait no longer than this takes.
 const TURN: usize = 64 * 1024;
+/// Bytes dropped at once of what comes on a connection that is being closed.
+const DROPPED: usize = 16 * 1024;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -32,11 +34,11 @@
 }
 
 impl Connection {
-    pub(super) fn new(fd: OwnedFd, state: State, cap: usize) -> Self {
+    pub(super) fn new(fd: OwnedFd, state: State, input: usize, output: usize) -> Self {
         Connection {
             fd,
-            input: Ring::new(cap),
-            output: Ring::new(cap),
+            input: Ring::new(input),
+            output: Ring::new(output),
             state,
             eof: false,
             broken: false,
@@ -65,9 +67,6 @@
     pub(super) fn fill(&mut self) {
         let mut left = TURN;
         while left > 0 && !self.eof && !self.broken {
-            if self.state == State::Lingering {
-                self.input.consume(usize::MAX);
-            }
             let free = self.input.free();
             if free.is_empty() {
                 return;
@@ -85,6 +84,20 @@
         }
     }
 
+    /// Drops what has come on a connection that is being closed. It needs no ring, and goes in larger pieces
+    /// than a ring's first size: 60 MB may follow.
+    pub(super) fn drop_rest(&mut self) {
+        let mut dropped = [0u8; DROPPED];
+        for _ in 0..TURN / DROPPED {
+            match rustix::io::read(&self.fd, &mut dropped) {
+                Ok(0) => return self.eof = true,
+                Ok(_) | Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => return,
+                Err(_) => return self.broken = true,
+            }
+        }
+    }
+
     /// Writes what is held, as far as the socket takes it.
     pub(super) fn flush(&mut self) {
         while self.state == State::Open && !self.output.is_empty() && !self.broken {
--- a/node/src/net/http.rs
+++ b/node/src/net/http.rs
@@ -48,6 +48,11 @@
         values.next().is_none().then_some(value)
     }
 
+    /// Whether this field comes at all.
+    pub fn has(&self, name: &str) -> bool {
+        self.all(name).next().is_some()
+    }
+
     /// Whether one of a field's comma-separated values is this word.
     fn lists(&self, name: &str, word: &str) -> bool {
         let mut words = self.all(name).flat_map(|value| value.split(','));
@@ -222,8 +227,9 @@
         let coded = fields.all("Transfer-Encoding").count();
         let mut lengths = fields.all("Content-Length");
         let length = lengths.next();
-        // Two ways to tell where a body ends let two readers see two different requests.
-        if coded > 0 && length.is_some() || coded > 1 || lengths.any(|l| Some(l) != length) {
+        // Two ways to tell where a body ends let two readers see two different requests, even where they agree
+        // to this one.
+        if coded + usize::from(length.is_some()) + lengths.count() > 1 {
             return Err(Fault::Malformed("the body's length is told twice"));
         }
         if coded > 0 {
@@ -247,6 +253,15 @@
         Ok(Body::new(Part::Length(length)))
     }
 
+    /// The most bytes that it can still have.
+    pub fn longest(&self) -> usize {
+        match self.part {
+            Part::Length(n) => n,
+            Part::Done => 0,
+            _ => MAX_BODY,
+        }
+    }
+
     pub fn is_done(&self) -> bool {
         matches!(self.part, Part::Done | Part::Length(0))
     }
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -18,10 +18,13 @@
 
 /// Events handled in one turn; the rest come in the next, after the timers.
 const EVENTS: usize = 128;
-/// How long a closed connection drops what still comes.
-const LINGER: Micros = millis(1000);
+/// How long a connection that is being closed may take to send the rest, and then drops what still comes. A peer
+/// that sends on without end, or reads nothing, holds its descriptor no longer.
+const LINGER: Micros = millis(3000);
 /// A direction of a connection holds a body of 64 KiB with its head, or a result of that size escaped.
 const RING: usize = 192 * 1024;
+/// What is held of what a consumer sends: its longest head. Bodies are taken out as they come.
+const CONSUMER_RING: usize = http::MAX_HEAD + 4096;
 
 /// A socket of the loop; never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -67,7 +70,14 @@
     socket: Socket,
 }
 
-/// A socket on which something has happened. Connections have been read and written as far as they go.
+/// A socket on which something has happened.
+#[derive(Clone, Copy, Debug)]
+pub struct Happened {
+    token: Token,
+    flags: EventFlags,
+}
+
+/// A socket to be looked at. Connections have been read and written as far as they go.
 #[derive(Clone, Copy, Debug)]
 pub struct Ready {
     pub token: Token,
@@ -81,7 +91,12 @@
     free: Vec<usize>,
     next: u64,
     touched: Vec<Token>,
+    /// The connections that are being closed, and until when; the first to be closed by then comes first.
     lingering: VecDeque<(Micros, Token)>,
+    /// How many of those are still open.
+    leaving: usize,
+    /// The time of this turn.
+    now: Micros,
 }
 
 impl Net {
@@ -93,6 +108,8 @@
             next: 1,
             touched: Vec::new(),
             lingering: VecDeque::new(),
+            leaving: 0,
+            now: Micros(0),
         })
     }
 
@@ -167,7 +184,11 @@
         };
         // Answers are small and wanted at once.
         let _ = sockopt::set_tcp_nodelay(&fd, true);
-        let conn = Connection::new(fd, State::Open, RING);
+        let cap = match peer {
+            Peer::Consumer => CONSUMER_RING,
+            _ => RING,
+        };
+        let conn = Connection::new(fd, State::Open, cap, RING);
         self.enter(peer, Socket::Stream(Box::new(conn))).map(Some)
     }
 
@@ -195,7 +216,7 @@
             Err(Errno::INPROGRESS) => State::Connecting,
             Err(e) => return Err(e.into()),
         };
-        let conn = Connection::new(fd, state, RING);
+        let conn = Connection::new(fd, state, RING, RING);
         self.enter(peer, Socket::Stream(Box::new(conn)))
     }
 
@@ -238,7 +259,9 @@
 
     /// Closes a connection at once.
     pub fn close(&mut self, token: Token) {
-        if self.slot(token).is_some() {
+        if let Some(slot) = self.slot(token) {
+            let leaving = matches!(&slot.socket, Socket::Stream(conn) if conn.closing);
+            self.leaving -= usize::from(leaving);
             // Closing the only descriptor takes it out of the epoll.
             self.slots[token.index()] = None;
             self.free.push(token.index());
@@ -247,12 +270,31 @@
 
     /// Closes a connection when all is written. Nothing more is told of it.
     pub fn finish(&mut self, token: Token) {
-        if let Some(conn) = self.get(token) {
+        let until = self.now + LINGER;
+        if let Some(conn) = self.get(token).filter(|conn| !conn.closing) {
             conn.closing = true;
+            self.leaving += 1;
+            self.lingering.push_back((until, token));
             self.touch(token);
         }
     }
 
+    /// How many connections are being closed and still hold their descriptors.
+    pub fn leaving(&self) -> usize {
+        self.leaving
+    }
+
+    /// Closes the connection at once that has been leaving for longest, to make room.
+    pub fn hasten(&mut self) {
+        let leaving = self.leaving;
+        while self.leaving == leaving {
+            match self.lingering.pop_front() {
+                Some((_, token)) => self.close(token),
+                None => return,
+            }
+        }
+    }
+
     /// Whether all answers on connections that are being closed are out.
     pub fn is_flushed(&self) -> bool {
         let unsent = |slot: &Slot| match &slot.socket {
@@ -264,15 +306,16 @@
 
     /// Writes out and waits anew where something was written, read or closed since the last time.
     pub fn settle(&mut self, now: Micros) {
+        self.now = now;
         for token in std::mem::take(&mut self.touched) {
-            self.renew(now, token);
+            self.renew(token);
         }
         while let Some((_, token)) = self.lingering.pop_front_if(|(until, _)| *until <= now) {
             self.close(token);
         }
     }
 
-    fn renew(&mut self, now: Micros, token: Token) {
+    fn renew(&mut self, token: Token) {
         let Some(conn) = self.get(token) else {
             return;
         };
@@ -285,7 +328,6 @@
             let _ = rustix::net::shutdown(&conn.fd, Shutdown::Write);
             conn.state = State::Lingering;
             conn.input.consume(usize::MAX);
-            self.lingering.push_back((now + LINGER, token));
         }
         let Some(conn) = self.get(token) else {
             return;
@@ -301,8 +343,9 @@
         }
     }
 
-    /// Waits until something happens, or so long; connections are read and written before they are told.
-    pub fn wait(&mut self, now: Micros, until: Option<Micros>, ready: &mut Vec<Ready>) {
+    /// Waits until something happens, or so long; tells on which sockets. Each is to be handed to [`Net::pump`].
+    pub fn wait(&mut self, now: Micros, until: Option<Micros>, happened: &mut Vec<Happened>) {
+        self.now = now;
         let linger = self.lingering.front().map(|(until, _)| *until);
         let until = [until, linger].into_iter().flatten().min();
         let span = until.map(|until| until - now);
@@ -317,21 +360,21 @@
                 log::error!("epoll: {e}");
             }
         }
-        for event in events {
-            let token = Token(event.data.u64());
-            let flags = event.flags;
-            self.pump(token, flags, ready);
-        }
+        happened.extend(events.iter().map(|event| Happened {
+            token: Token(event.data.u64()),
+            flags: event.flags,
+        }));
     }
 
-    fn pump(&mut self, token: Token, flags: EventFlags, ready: &mut Vec<Ready>) {
-        let Some(slot) = self.slot(token) else {
-            return;
-        };
+    /// Reads and writes a connection on which something has happened, as far as it goes in one turn, and tells
+    /// who is to look at it. One is pumped and handled after the other: what a turn reads is held once, not for
+    /// each connection of the turn.
+    pub fn pump(&mut self, Happened { token, flags }: Happened) -> Option<Ready> {
+        let slot = self.slot(token)?;
         let peer = slot.peer;
         let Socket::Stream(conn) = &mut slot.socket else {
             let listener = matches!(slot.socket, Socket::Listener(_));
-            return ready.push(Ready {
+            return Some(Ready {
                 token,
                 peer,
                 listener,
@@ -341,7 +384,10 @@
             conn.connected();
         }
         conn.flush();
-        conn.fill();
+        match conn.state {
+            State::Lingering => conn.drop_rest(),
+            _ => conn.fill(),
+        }
         // Both directions are gone: without this, a full input would be told of again and again.
         conn.broken |= flags.intersects(EventFlags::ERR | EventFlags::HUP);
         if conn.state == State::Lingering || conn.closing {
@@ -350,14 +396,14 @@
             } else {
                 self.touch(token);
             }
-            return;
+            return None;
         }
-        ready.push(Ready {
+        self.touch(token);
+        Some(Ready {
             token,
             peer,
             listener: false,
-        });
-        self.touch(token);
+        })
     }
 }
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -79,7 +79,7 @@
         let mut core = core.map_err(io::Error::other)?;
         let submitters = submission.as_ref().map_or(0, |front| front.max_submitters);
         let most_consumers = most_consumers(config.most_consumers, submitters);
-        let consumers = Consumers::new(config.listen, most_consumers, &mut net)?;
+        let consumers = Consumers::new(config.listen, most_consumers, config.bodies, &mut net)?;
         let spoken_to = submission.iter().flat_map(|front| &front.workers);
         let by_submission = spoken_to.map(|word| worker_id(word)).collect();
         // Ids of jobs differ between nodes and between starts.
@@ -123,7 +123,7 @@
 
     /// Serves until it is told to end and nothing is open any more.
     pub fn run(&mut self) {
-        let mut ready = Vec::new();
+        let mut happened = Vec::new();
         loop {
             let now = self.clock.now();
             self.settle(now);
@@ -132,11 +132,13 @@
                 return;
             }
             self.net
-                .wait(self.clock.now(), self.next_wake(), &mut ready);
+                .wait(self.clock.now(), self.next_wake(), &mut happened);
             // Timers first: however much has come, they are punctual.
             self.wake(self.clock.now());
-            for event in ready.drain(..) {
-                self.dispatch(event);
+            for event in happened.drain(..) {
+                if let Some(ready) = self.net.pump(event) {
+                    self.dispatch(ready);
+                }
             }
         }
     }
@@ -221,6 +223,7 @@
             log::warn!("reload: other settings count from the next start");
         }
         self.consumers.most = most_consumers(config.most_consumers, self.submitters);
+        self.consumers.pot = config.bodies;
         self.workers.set_most(config.most_worker_connections);
         let named = config.directory_in_file;
         if let Some(addr) = named.filter(|_| named != self.directory_in_file) {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -208,6 +208,7 @@
         let (limits, workers): (Vec<&str>, Vec<&str>) = words.iter().partition(|w| w.contains('='));
         let limit = |name| limits.iter().find_map(|limit| limit.strip_prefix(name));
         let sockets = limit("sockets=").unwrap_or("1024");
+        let memory = limit("memory=").unwrap_or("192");
         let descriptors = limit("nofile=").unwrap_or("1024");
         ["directory"]
             .iter()
@@ -224,6 +225,7 @@
         let config = fs::read_to_string(tests.join("config.json")).unwrap();
         let config = config.replace("\"MEMBERS\"", &members.join(","));
         let config = config.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
+        let config = config.replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory}"));
         let path = self.folder.join("config.json");
         fs::write(&path, &config).unwrap();
         self.config = config;
--- a/node/tests/config.rs
+++ b/node/tests/config.rs
@@ -25,6 +25,11 @@
     r#""sockets":20"#,
     "LB_CONFIG: limits.sockets: want 96 or more"
 )]
+#[case(
+    r#""memory_mb":192"#,
+    r#""memory_mb":16"#,
+    "LB_CONFIG: limits.memory_mb: want 32 or more"
+)]
 #[case(
     r#""balancers":1,"#,
     "",
--- a/node/tests/core.rs
+++ b/node/tests/core.rs
@@ -52,6 +52,7 @@
                     tenant: Some("au"),
                     time_left: ms(wait),
                     work: Work {
+                        txn: name.to_string(),
                         key: Some("k".to_owned()),
                         ..Work::default()
                     },
