Keep no connection to workers once a kept one was found dead

Checked: a trace of all calls and probes. 134 of 244 resets came within 50 ms of the send and before any sign of life, 239 probes were reset in the same way, and each of them rested a sound worker, from 0.5 s up. Ruled out: the idle time of the settings, since those connections were younger than half of it; the machines' limit on connections.

At fault: Workers::connection took any idle link that peeked quiet; a dead one looks just so. A new connection costs a millisecond or two of a job of hundreds, and handshakes have no price here.

Change: a kept connection that breaks before a byte of its answer, or that the worker closes long before its time, ends all keeping for 30 s. The call's outcome stays reset: it may have run.

--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -19,6 +19,9 @@
 const PROBE: Micros = millis(500);
 /// How long a connection may take to carry the rest of an answer that has been decided.
 const TAIL: Micros = millis(1000);
+/// For so long no connection is kept once a kept one was found dead. A call that meets a dead one may have run, so it
+/// costs an attempt, its worker a rest and a keyed job its choice; a new connection costs a millisecond or two.
+const DISTRUST: Micros = millis(30_000);
 
 /// What a connection is carrying.
 enum Errand {
@@ -50,6 +53,8 @@
     speech: Option<Speech>,
     /// When its request was handed over.
     sent: Micros,
+    /// It had carried an earlier request, and nothing has come since this one.
+    untried: bool,
     /// When something is to be done about it: connected, probed or idle for too long.
     due: Option<Micros>,
 }
@@ -61,6 +66,7 @@
             errand,
             speech: Some(speech),
             sent,
+            untried: false,
             due: None,
         }
     }
@@ -84,6 +90,8 @@
     /// Idle connections, the last used at the end.
     idle: HashMap<WorkerId, Vec<Token>>,
     due: BTreeSet<(Micros, Token)>,
+    /// No connection is kept until then.
+    distrust: Micros,
 }
 
 impl Workers {
@@ -94,6 +102,7 @@
             calls: HashMap::new(),
             idle: HashMap::new(),
             due: BTreeSet::new(),
+            distrust: Micros(0),
         }
     }
 
@@ -161,10 +170,19 @@
     }
 
     /// Puts a request on an idle connection, or on a new one.
-    fn say(&mut self, now: Micros, place: &Place, link: Link, bytes: &[u8], net: &mut Net) -> bool {
+    fn say(
+        &mut self,
+        now: Micros,
+        place: &Place,
+        mut link: Link,
+        bytes: &[u8],
+        net: &mut Net,
+    ) -> bool {
         let Some(token) = self.connection(now, link.worker, place, net) else {
             return false;
         };
+        // Still entered as the idle link that it was.
+        link.untried = self.links.contains_key(&token);
         if !net.write(token, bytes) {
             self.drop_link(token, net);
             return false;
@@ -252,6 +270,17 @@
         }
     }
 
+    /// Closes all idle connections, and keeps none for a while.
+    fn stop_keeping(&mut self, now: Micros, net: &mut Net) {
+        if now >= self.distrust {
+            log::info!("workers: a kept connection was dead; none is kept for a while");
+        }
+        self.distrust = now + DISTRUST;
+        for token in std::mem::take(&mut self.idle).into_values().flatten() {
+            self.drop_link(token, net);
+        }
+    }
+
     /// The worker is gone, has moved or was started anew: its idle connections are of no use.
     pub fn forget(&mut self, worker: WorkerId, net: &mut Net) {
         for token in self.idle.remove(&worker).unwrap_or_default() {
@@ -265,10 +294,13 @@
             return net.close(token);
         };
         if let Errand::Idle = link.errand {
-            // Closed by the worker, or speaking unasked: of no use either way.
+            // Closed by the worker long before it said it would, or speaking unasked: of no use either way, and
+            // the others may be dead without a word.
             self.drop_link(token, net);
-            return;
+            return self.stop_keeping(now, net);
         }
+        link.untried &= conn.input.is_empty();
+        let found_dead = link.untried && (conn.broken || conn.eof);
         let connected = !conn.is_connecting();
         let news = match &mut link.speech {
             Some(speech) => speech.read(conn),
@@ -284,7 +316,18 @@
             };
             self.set_due(token, due);
         }
+        if found_dead {
+            self.stop_keeping(now, net);
+        }
         self.take(now, token, news, core);
+        if now < self.distrust
+            && self
+                .links
+                .get(&token)
+                .is_some_and(|l| matches!(l.errand, Errand::Idle))
+        {
+            self.drop_link(token, net);
+        }
         let Some(link) = self.links.get(&token) else {
             return;
         };
