Time out a running job of which its worker tells nothing any more

Checked: workers tell of a running job every second (progress-us), and the wake of a link knew connects and probes only: a call whose connection or machine has fallen silent held its job to the deadline, 7.5 or 25 s, past its aim. Ruled out: closing at the first missed word, since workers pause for up to 0.6 s, again and again.

At fault: Workers::ready set no due time for calls. Now a job that has begun and is silent for three spans ends as timed out (it may have run), which the dispatcher resends where its effect allows.

Conclusion: silence after the start is met; a job that waits unstarted on a silent connection still relies on the dispatcher's moves.

--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -109,6 +109,7 @@
     #[serde(rename = "report-x1")]
     pub report_x1: String,
     pub tells_start: bool,
+    pub progress_us: u64,
 }
 
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -97,6 +97,8 @@
     /// A worker closes a connection that has been idle for so long.
     pub idle: Micros,
     pub connect_timeout: Micros,
+    /// How often a worker tells of a job that runs; none where it does not.
+    pub progress: Option<Micros>,
     pub most_consumers: usize,
     pub most_worker_connections: usize,
     /// Bytes that the bodies of requests may take together.
@@ -186,6 +188,7 @@
             settings,
             idle: facts.bounds.conn_idle_us.map_or(IDLE, Micros),
             connect_timeout: facts.bounds.connect_timeout_us.map_or(CONNECT, Micros),
+            progress: Some(Micros(facts.family_info.progress_us)).filter(|span| span.0 > 0),
             zones: facts.localities.clone(),
             kinds: facts.kinds.clone(),
             facts,
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -94,6 +94,7 @@
             reports: config.reports,
             idle: config.idle,
             connect_timeout: config.connect_timeout,
+            progress: config.progress,
             most: config.most_worker_connections,
             by_submission,
         });
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -23,7 +23,12 @@
 /// costs an attempt, its worker a rest and a keyed job its choice; a new connection costs a millisecond or two.
 const DISTRUST: Micros = millis(30_000);
 
+/// A running job of which nothing was heard for so many times the usual span is lost: its machine has vanished, or
+/// stands still for longer than any pause.
+const SILENT: u64 = 3;
+
 /// What a connection is carrying.
+#[derive(Clone, Copy)]
 enum Errand {
     Call(RequestId, u32),
     Probe,
@@ -55,6 +60,8 @@
     sent: Micros,
     /// It had carried an earlier request, and nothing has come since this one.
     untried: bool,
+    /// The job that it carries runs.
+    started: bool,
     /// When something is to be done about it: connected, probed or idle for too long.
     due: Option<Micros>,
 }
@@ -67,6 +74,7 @@
             speech: Some(speech),
             sent,
             untried: false,
+            started: false,
             due: None,
         }
     }
@@ -78,6 +86,8 @@
     /// Workers close a connection that has been idle for so long.
     pub idle: Micros,
     pub connect_timeout: Micros,
+    /// How often a worker tells of a job that runs, if it does.
+    pub progress: Option<Micros>,
     pub most: usize,
     /// The workers that are spoken to by submission.
     pub by_submission: HashSet<WorkerId>,
@@ -310,6 +320,13 @@
         let unsent = !conn.output.is_empty();
         if connected {
             let due = match link.errand {
+                // Only a job that has begun is told of, and each word of it counts anew.
+                Errand::Call(..) if news.started || link.started => {
+                    link.started = true;
+                    self.figures
+                        .progress
+                        .map(|span| now + Micros(SILENT * span.0))
+                }
                 Errand::Call(..) => None,
                 Errand::Probe => Some(link.sent + PROBE),
                 Errand::Tail | Errand::Idle => link.due,
