Answer operators: check, figures, and workers taken out by hand

Log and figures come from the same counts; a call is counted where its last byte has left and not where it is made, since one that never connects is no attempt that a worker can have.

At fault: no such address. Now `ops/`, `Directory::merged`, `Workers::hold_back` and `Workers::written`, and the counts by class in `core/book.rs`. `Dispatcher::rests` in `src/state.rs` shows who rests; nothing in it decides. The log's line of totals is pinned by earlier tests, so the classes have a line of their own.

`ops`, `set_down` and `set_down_waiting` fail where the change, the merge or the holding back is taken out; that last one passed without it until its order was corrected.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-/// Descriptors kept for the epoll, the standard streams, listeners, the directory and the signals' pipe.
+/// Descriptors kept for the epoll, the standard streams, listeners, the directory, the signals' pipes and operators.
 const KEPT: usize = 48;
 /// Memory that the node takes without any body, and the part of the rest that bodies may take: each may be held
 /// up to three times, as it came, in the buffer to a worker and in what that had to grow from.
@@ -52,6 +52,8 @@
     #[serde(default)]
     discovery: Option<String>,
     #[serde(default)]
+    ops: Option<String>,
+    #[serde(default)]
     seed: Option<String>,
     #[serde(default)]
     limits: FileLimits,
@@ -81,6 +83,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub directory: SocketAddr,
+    /// Where operators call; none where they cannot.
+    pub ops: Option<SocketAddr>,
     /// The directory that the file names: a reload looks at this, since the environment stays that of the start.
     pub directory_in_file: Option<SocketAddr>,
     pub seed: u64,
@@ -142,6 +146,10 @@
             },
         };
         let listen = address(either("LB_LISTEN", "listen", &file.listen)?)?;
+        let ops = match var("LB_OPS").is_some() || file.ops.is_some() {
+            true => Some(address(either("LB_OPS", "ops", &file.ops)?)?),
+            false => None,
+        };
         let directory = address(either("LB_DISCOVERY", "discovery", &file.discovery)?)?;
         let in_file = file.discovery.clone();
         let directory_in_file = in_file.map(|text| address(("LB_CONFIG: discovery".into(), text)));
@@ -179,6 +187,7 @@
             name: either("LB_NAME", "name", &file.name)?.1,
             listen,
             directory,
+            ops,
             directory_in_file: directory_in_file.transpose()?,
             seed,
             known: file.known,
--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -118,7 +118,7 @@
     /// Takes the connections that wait, as many as may be held.
     pub fn accept(&mut self, now: Micros, net: &mut Net) {
         for _ in 0..ACCEPTS {
-            if self.open.len() + net.leaving() >= self.most && !self.make_room(net) {
+            if self.open.len() + net.leaving(Peer::Consumer) >= self.most && !self.make_room(net) {
                 return self.rest(now, net);
             }
             match net.accept(self.listener) {
@@ -154,8 +154,8 @@
     /// Closes a connection to make room: one that has its answer already, else one that has said nothing or only
     /// a part for longest, else the longest idle. One on which something has come meanwhile is left alone.
     fn make_room(&mut self, net: &mut Net) -> bool {
-        if net.leaving() > 0 {
-            net.hasten();
+        if net.leaving(Peer::Consumer) > 0 {
+            net.hasten(Peer::Consumer);
             return true;
         }
         let mut spare = self.spare.iter();
--- a/node/src/core/book.rs
+++ b/node/src/core/book.rs
@@ -1,17 +1,27 @@
 //! Stage 6, book: the final answer, given once, and the counts.
 
 use super::{Command, Core, Verdict};
-use marbledeck::{Outcome, RequestId};
+use marbledeck::{ClassId, Outcome, RequestId};
 use std::fmt;
 
-/// Totals since the start.
+/// Totals of one class since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    pub taken: u64,
+pub struct ClassCounts {
     pub served: u64,
     pub rejected: u64,
     pub failed: u64,
+    /// Calls whose last byte has left for the worker.
+    pub written: u64,
+}
+
+/// Totals since the start: what operators are shown and what is logged are the same counts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// By class, each from the start on.
+    pub classes: Vec<ClassCounts>,
+    pub taken: u64,
     pub gone: u64,
+    /// Calls made, whether or not they were ever written.
     pub calls: u64,
     pub full: u64,
     pub unconnected: u64,
@@ -23,6 +33,10 @@
 }
 
 impl Counts {
+    pub(super) fn class(&mut self, class: ClassId) -> Option<&mut ClassCounts> {
+        self.classes.get_mut(class.0 as usize)
+    }
+
     pub(super) fn end(&mut self, outcome: Outcome) {
         match outcome {
             Outcome::Full => self.full += 1,
@@ -37,14 +51,15 @@
 
 impl fmt::Display for Counts {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let sum = |of: fn(&ClassCounts) -> u64| self.classes.iter().map(of).sum::<u64>();
         write!(
             f,
             "taken {} served {} rejected {} failed {} gone {} duplicates {}; calls {}: full {} unconnected {} \
              reset {} timed out {} error {}",
             self.taken,
-            self.served,
-            self.rejected,
-            self.failed,
+            sum(|c| c.served),
+            sum(|c| c.rejected),
+            sum(|c| c.failed),
             self.gone,
             self.duplicates,
             self.calls,
@@ -63,18 +78,41 @@
         if !self.table.answer(id) {
             return false;
         }
-        match verdict {
-            Verdict::Served(_) => self.counts.served += 1,
-            Verdict::Rejected(_) => self.counts.rejected += 1,
-            Verdict::Failed => self.counts.failed += 1,
+        let invocation = self.table.get(id);
+        let class = invocation.as_ref().map(|i| i.class);
+        let sent = invocation.and_then(|i| i.last_sent());
+        if let Some(class) = class.and_then(|class| self.counts.class(class)) {
+            match verdict {
+                Verdict::Served(_) => class.served += 1,
+                Verdict::Rejected(_) => class.rejected += 1,
+                Verdict::Failed => class.failed += 1,
+            }
         }
-        let sent = self.table.get(id).and_then(|i| i.last_sent());
         self.commands
             .push_back(Command::Answer { id, verdict, sent });
         self.table.forget(id);
         true
     }
 
+    /// The last byte of a call has been written to its worker: only then is it one that the worker can have.
+    pub fn call_written(&mut self, id: RequestId) {
+        let class = self.table.get(id).map(|i| i.class);
+        if let Some(class) = class.and_then(|class| self.counts.class(class)) {
+            class.written += 1;
+        }
+    }
+
+    /// The totals of each class, in a line for the log.
+    pub fn by_class(&self) -> String {
+        let named = self.catalogue.names().zip(&self.counts.classes);
+        let words = named.map(|(name, c)| {
+            let (served, rejected) = (c.served, c.rejected);
+            let (failed, written) = (c.failed, c.written);
+            format!("{name}: served {served} rejected {rejected} failed {failed} written {written}")
+        });
+        words.collect::<Vec<_>>().join("; ")
+    }
+
     /// A front has joined a resubmission to an earlier job.
     pub fn count_duplicate(&mut self) {
         self.counts.duplicates += 1;
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -13,7 +13,7 @@
 mod take_in;
 mod timers;
 
-pub use book::Counts;
+pub use book::{ClassCounts, Counts};
 pub use take_in::{Catalogue, Malformed, Order};
 
 use marbledeck::{
@@ -105,13 +105,17 @@
         now: Micros,
     ) -> Result<Self, SettingsError> {
         let attempts = settings.limits.attempts;
+        let counts = Counts {
+            classes: vec![ClassCounts::default(); settings.classes.len()],
+            ..Counts::default()
+        };
         Ok(Core {
             dispatcher: Dispatcher::new(settings, seed, now)?,
             catalogue,
             attempts,
             table: Table::default(),
             timers: Timers::default(),
-            counts: Counts::default(),
+            counts,
             ready_workers: false,
             pending: VecDeque::new(),
             actions: Vec::new(),
@@ -169,7 +173,17 @@
 
     /// Whether no invocation waits for its final answer.
     pub fn idle(&self) -> bool {
-        self.table.unanswered() == 0
+        self.unanswered() == 0
+    }
+
+    /// How many invocations wait for their final answer.
+    pub fn unanswered(&self) -> usize {
+        self.table.unanswered()
+    }
+
+    /// Whether the dispatcher leaves this worker alone for now, for its failures.
+    pub fn rests(&self, now: Micros, worker: WorkerId) -> bool {
+        self.dispatcher.rests(now, worker)
     }
 
     /// How many bytes the bodies of the invocations take that are not over.
--- a/node/src/core/table.rs
+++ b/node/src/core/table.rs
@@ -1,7 +1,7 @@
 //! The invocations: each is kept until it has its final answer and all of its calls are back.
 
 use super::Work;
-use marbledeck::{Micros, RequestId, WorkerId};
+use marbledeck::{ClassId, Micros, RequestId, WorkerId};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
@@ -14,6 +14,7 @@
 }
 
 pub struct Invocation {
+    pub class: ClassId,
     pub work: Rc<Work>,
     pub deadline: Micros,
     pub answered: bool,
@@ -41,12 +42,13 @@
 
 impl Table {
     /// Enters an invocation under an id that is never used again.
-    pub fn enter(&mut self, work: Work, deadline: Micros) -> RequestId {
+    pub fn enter(&mut self, class: ClassId, work: Work, deadline: Micros) -> RequestId {
         let id = RequestId(self.next);
         self.next += 1;
         self.txns.insert(work.txn.clone());
         self.bytes += work.body.len();
         let new = Invocation {
+            class,
             work: Rc::new(work),
             deadline,
             answered: false,
--- a/node/src/core/take_in.rs
+++ b/node/src/core/take_in.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// The classes' names, in order.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.classes.iter().map(|(name, _)| name.as_str())
+    }
+
     /// The position of a class, and what it is.
     pub fn class(&self, name: &str) -> Option<(ClassId, &Class)> {
         let at = self.classes.iter().position(|(known, _)| known == name)?;
@@ -105,10 +110,14 @@
             return Err(Malformed::IdOpen);
         }
         if self.table.unanswered() >= self.catalogue.max_open {
+            // Answered as a rejection, and so counted as one.
+            if let Some(class) = self.counts.class(class) {
+                class.rejected += 1;
+            }
             return Err(Malformed::TooMany);
         }
         let deadline = now + order.time_left;
-        let id = self.table.enter(order.work, deadline);
+        let id = self.table.enter(class, order.work, deadline);
         // After the attempts' time-outs, which let the dispatcher answer.
         self.timers.add(deadline + BACKSTOP, Due::Deadline(id));
         self.counts.taken += 1;
--- a/node/src/directory/mod.rs
+++ b/node/src/directory/mod.rs
@@ -7,7 +7,7 @@
 use marbledeck::{CellId, Entry, KindId, ListKind, Micros, State, WorkerId, ZoneId};
 use marbledeck_facts::worker_id;
 use serde::Deserialize;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// How long a watch waits for a change. A silent directory is noticed after this and [`GRACE`].
@@ -46,6 +46,15 @@
     pub up_since_ms: u64,
 }
 
+/// The phase of a worker that has left the list.
+const GONE: &str = "removed";
+
+impl Member {
+    fn addr(&self) -> Option<SocketAddr> {
+        self.host_port.parse().ok()
+    }
+}
+
 /// Where a worker is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -67,6 +76,10 @@
     kinds: Vec<String>,
     revision: u64,
     places: HashMap<WorkerId, Place>,
+    /// The directory's word on each worker in its list.
+    listed: HashMap<WorkerId, Member>,
+    /// The workers taken out by hand, whether they are in the list or not: they may leave it and come back.
+    out: BTreeSet<String>,
     call: Option<Call>,
     /// The node has moved to another directory, which has not told its list yet.
     moving: bool,
@@ -86,6 +99,8 @@
             kinds,
             revision: 0,
             places: HashMap::new(),
+            listed: HashMap::new(),
+            out: BTreeSet::new(),
             call: None,
             moving: false,
             again: None,
@@ -98,6 +113,35 @@
         self.places.get(&worker)
     }
 
+    /// Whether a worker of this id is in the list, or out by hand.
+    pub fn knows(&self, id: &str) -> bool {
+        self.out.contains(id) || self.listed.contains_key(&worker_id(id))
+    }
+
+    /// Takes a worker out by hand, or calls it back, whatever the directory has told or will tell of it meanwhile.
+    pub fn set_out(&mut self, now: Micros, id: &str, out: bool, core: &mut Core) {
+        let changed = match out {
+            true => self.out.insert(id.to_owned()),
+            false => self.out.remove(id),
+        };
+        let worker = worker_id(id);
+        if let Some(member) = self.listed.get(&worker).filter(|_| changed) {
+            let entry = self.merged(worker, member);
+            core.listed(now, ListKind::Delta, vec![entry]);
+        }
+    }
+
+    /// How many workers are in the list, and how many of them are out by hand or as `resting` tells.
+    pub fn count(&self, resting: impl Fn(WorkerId) -> bool) -> (usize, usize) {
+        let avoided = |(worker, member): &(&WorkerId, &Member)| {
+            self.out.contains(&member.id) || resting(**worker)
+        };
+        (
+            self.listed.len(),
+            self.listed.iter().filter(avoided).count(),
+        )
+    }
+
     /// Starts from the list that this node last had; it may be old.
     pub fn known(&mut self, now: Micros, listing: Listing, core: &mut Core) {
         self.revision = listing.revision;
@@ -260,6 +304,7 @@
             let absent = self.places.keys().filter(|id| !ids.contains(id));
             self.stale.extend(absent);
             self.places.retain(|id, _| ids.contains(id));
+            self.listed.retain(|id, _| ids.contains(id));
         }
         let mut entries = Vec::with_capacity(members.len());
         for (worker, member) in ids.into_iter().zip(members) {
@@ -268,38 +313,43 @@
         entries
     }
 
-    /// One line of the list.
+    /// Takes in one line of the list.
     fn entry(&mut self, worker: WorkerId, member: Member) -> Entry {
-        let mut state = match member.phase.as_str() {
-            "up" => State::Ready,
-            "removed" => State::Gone,
-            // An unknown phase is no invitation to send there.
-            _ => State::Draining,
-        };
-        let started = Clock::from_unix_ms(member.up_since_ms);
-        let addr = member.host_port.parse();
-        match (addr, state) {
-            (_, State::Gone) => {
-                self.places.remove(&worker);
-                self.stale.push(worker);
-            }
-            (Ok(addr), _) => {
+        let entry = self.merged(worker, &member);
+        if member.phase == GONE {
+            self.places.remove(&worker);
+            self.listed.remove(&worker);
+            self.stale.push(worker);
+            return entry;
+        }
+        match member.addr() {
+            Some(addr) => {
                 let place = Place {
-                    name: member.id,
+                    name: member.id.clone(),
                     addr,
-                    started,
+                    started: entry.started,
                 };
                 let old = self.places.insert(worker, place.clone());
                 if old.is_some_and(|old| old != place) {
                     self.stale.push(worker);
                 }
             }
-            (Err(_), _) => {
-                // It cannot be sent to, and what is known of its state still counts.
-                log::warn!("directory: '{}' is no address", member.host_port);
-                state = State::Draining;
-            }
+            None => log::warn!("directory: '{}' is no address", member.host_port),
         }
+        self.listed.insert(worker, member);
+        entry
+    }
+
+    /// What the dispatcher is told of a worker: the directory's word, and no new work for one that is out by hand.
+    /// This is the one place where the two meet, so that no later word of the directory undoes an operator's.
+    fn merged(&self, worker: WorkerId, member: &Member) -> Entry {
+        let state = match member.phase.as_str() {
+            GONE => State::Gone,
+            // It cannot be sent to without an address, and what is known of its state still counts.
+            "up" if member.addr().is_some() && !self.out.contains(&member.id) => State::Ready,
+            // An unknown phase is no invitation to send there.
+            _ => State::Draining,
+        };
         let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
         Entry {
             worker,
@@ -307,7 +357,7 @@
             zone: ZoneId(position(&self.zones, &member.locality).map_or(u32::MAX, |i| i as u32)),
             kind: KindId(position(&self.kinds, &member.flavor).map_or(u32::MAX, |i| i as u32)),
             cell: member.cell.map(CellId),
-            started,
+            started: Clock::from_unix_ms(member.up_since_ms),
         }
     }
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod logger;
 mod net;
 pub mod node;
+mod ops;
 mod submission;
 mod workers;
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -43,6 +43,7 @@
     Worker,
     Directory,
     Submitter,
+    Operator,
     /// SIGTERM.
     End,
     /// SIGHUP.
@@ -93,8 +94,8 @@
     touched: Vec<Token>,
     /// The connections that are being closed, and until when; the first to be closed by then comes first.
     lingering: VecDeque<(Micros, Token)>,
-    /// How many of those are still open.
-    leaving: usize,
+    /// How many of those are still open, those of operators apart: neither crowds the other out.
+    leaving: [usize; 2],
     /// The time of this turn.
     now: Micros,
 }
@@ -108,7 +109,7 @@
             next: 1,
             touched: Vec::new(),
             lingering: VecDeque::new(),
-            leaving: 0,
+            leaving: [0; 2],
             now: Micros(0),
         })
     }
@@ -261,7 +262,8 @@
     pub fn close(&mut self, token: Token) {
         if let Some(slot) = self.slot(token) {
             let leaving = matches!(&slot.socket, Socket::Stream(conn) if conn.closing);
-            self.leaving -= usize::from(leaving);
+            let apart = apart(slot.peer);
+            self.leaving[apart] -= usize::from(leaving);
             // Closing the only descriptor takes it out of the epoll.
             self.slots[token.index()] = None;
             self.free.push(token.index());
@@ -271,27 +273,32 @@
     /// Closes a connection when all is written. Nothing more is told of it.
     pub fn finish(&mut self, token: Token) {
         let until = self.now + LINGER;
+        let Some(slot) = self.slot(token) else {
+            return;
+        };
+        let apart = apart(slot.peer);
         if let Some(conn) = self.get(token).filter(|conn| !conn.closing) {
             conn.closing = true;
-            self.leaving += 1;
+            self.leaving[apart] += 1;
             self.lingering.push_back((until, token));
             self.touch(token);
         }
     }
 
-    /// How many connections are being closed and still hold their descriptors.
-    pub fn leaving(&self) -> usize {
-        self.leaving
+    /// How many connections are being closed and still hold their descriptors: those of operators, or all others.
+    pub fn leaving(&self, peer: Peer) -> usize {
+        self.leaving[apart(peer)]
     }
 
-    /// Closes the connection at once that has been leaving for longest, to make room.
-    pub fn hasten(&mut self) {
-        let leaving = self.leaving;
-        while self.leaving == leaving {
-            match self.lingering.pop_front() {
-                Some((_, token)) => self.close(token),
-                None => return,
-            }
+    /// Closes the connection of these at once that has been leaving for longest, to make room.
+    pub fn hasten(&mut self, peer: Peer) {
+        let wanted = |slot: &Slot| apart(slot.peer) == apart(peer);
+        let slots = &self.slots;
+        let open = |token: Token| slots[token.index()].as_ref().filter(|s| s.token == token);
+        let mut of_peer = self.lingering.iter();
+        let found = of_peer.position(|(_, token)| open(*token).is_some_and(wanted));
+        if let Some((_, token)) = found.and_then(|at| self.lingering.remove(at)) {
+            self.close(token);
         }
     }
 
@@ -407,6 +414,11 @@
     }
 }
 
+/// Whose leaving connections are counted apart.
+fn apart(peer: Peer) -> usize {
+    usize::from(peer == Peer::Operator)
+}
+
 fn stream_socket(addr: SocketAddr) -> io::Result<OwnedFd> {
     let family = if addr.is_ipv4() {
         AddressFamily::INET
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -5,7 +5,8 @@
 use crate::consumers::Consumers;
 use crate::core::{Command, Core};
 use crate::directory::Directory;
-use crate::net::{Net, Peer, Ready};
+use crate::net::{Net, Peer, Ready, Token};
+use crate::ops::{self, Call, Ops};
 use crate::submission::Submissions;
 use crate::workers::{Figures, Workers};
 use marbledeck::Micros;
@@ -41,6 +42,7 @@
     directory: Directory,
     submissions: Option<Submissions>,
     submitters: usize,
+    ops: Option<Ops>,
     signals: Signals,
     read: Read,
     /// What the file said when it was last read: only a change of it is acted upon.
@@ -89,6 +91,13 @@
         if let Some(front) = &submissions {
             log::info!("{} takes submissions at {}", config.name, front.addr);
         }
+        let ops = config
+            .ops
+            .map(|addr| Ops::new(addr, &mut net))
+            .transpose()?;
+        if let Some(ops) = &ops {
+            log::info!("{} answers operators at {}", config.name, ops.addr);
+        }
         let workers = Workers::new(Figures {
             reads: config.reads,
             reports: config.reports,
@@ -112,6 +121,7 @@
             directory,
             submissions,
             submitters,
+            ops,
             signals,
             read,
             directory_in_file: config.directory_in_file,
@@ -129,6 +139,7 @@
             let now = self.clock.now();
             self.settle(now);
             if self.is_over(now) {
+                log::info!("{}", self.core.by_class());
                 log::info!("ended: {}", self.core.counts());
                 return;
             }
@@ -151,6 +162,7 @@
             self.directory.next_wake(),
             self.consumers.next_wake(),
             self.submissions.as_ref().and_then(Submissions::next_wake),
+            self.ops.as_ref().and_then(Ops::next_wake),
             self.ending,
             Some(self.next_counts),
         ]
@@ -167,9 +179,13 @@
         if let Some(front) = &mut self.submissions {
             front.wake(now, &mut self.net, &mut self.core);
         }
+        if let Some(ops) = &mut self.ops {
+            ops.wake(now, &mut self.net);
+        }
         if now >= self.next_counts {
             self.next_counts = now + COUNTS;
             log::info!("{}", self.core.counts());
+            log::info!("{}", self.core.by_class());
         }
     }
 
@@ -194,12 +210,68 @@
                     }
                 }
             }
+            Peer::Operator => {
+                if let Some(ops) = &mut self.ops {
+                    match event.listener {
+                        true => ops.accept(now, &mut self.net),
+                        false => {
+                            if let Some(call) = ops.ready(token, &mut self.net) {
+                                self.operate(now, token, call);
+                            }
+                        }
+                    }
+                }
+            }
             Peer::End => self.end(now),
             Peer::Reload => self.reload(now),
         }
         self.carry_out(now);
     }
 
+    /// Does what an operator asks for, and answers.
+    fn operate(&mut self, now: Micros, caller: Token, call: Call) {
+        let answer = match call {
+            Call::Check => self.serves(),
+            Call::Vars => {
+                let (listed, avoided) = self.directory.count(|w| self.core.rests(now, w));
+                let text = ops::figures(&self.core, listed, avoided);
+                if let Some(ops) = &mut self.ops {
+                    ops.say(caller, &text, &mut self.net);
+                }
+                return;
+            }
+            Call::SetDown(id) => self.set_out(now, id, true),
+            Call::SetUp(id) => self.set_out(now, id, false),
+        };
+        if let Some(ops) = &mut self.ops {
+            ops.answer(caller, answer, &mut self.net);
+        }
+    }
+
+    fn serves(&self) -> ops::Answer {
+        match (self.ending, self.core.has_workers()) {
+            (Some(_), _) => Err("ending".into()),
+            (_, false) => Err("no worker is known".into()),
+            _ => Ok("serving".into()),
+        }
+    }
+
+    /// An operator takes a worker out or calls it back.
+    fn set_out(&mut self, now: Micros, id: String, out: bool) -> ops::Answer {
+        if !self.directory.knows(&id) {
+            return Err("unknown render worker".into());
+        }
+        self.directory.set_out(now, &id, out, &mut self.core);
+        if out {
+            let worker = worker_id(&id);
+            self.workers
+                .hold_back(now, worker, &mut self.net, &mut self.core);
+        }
+        let word = if out { "out" } else { "may serve" };
+        log::info!("operators: {id} {word}");
+        Ok(format!("{id} {word}"))
+    }
+
     /// SIGTERM: what is open is finished, and what still comes is served.
     fn end(&mut self, now: Micros) {
         drain(&mut self.signals.end);
@@ -251,6 +323,7 @@
     fn settle(&mut self, now: Micros) {
         self.carry_out(now);
         self.net.settle(now);
+        self.workers.written(&mut self.net, &mut self.core);
     }
 
     fn carry_out(&mut self, now: Micros) {
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -8,6 +8,7 @@
 use crate::clock::millis;
 use crate::core::{Core, InvokerCall};
 use crate::directory::Place;
+use crate::net::conn::Connection;
 use crate::net::{Net, Peer, Token};
 use crate::submission::calls::{self, Submitted};
 use marbledeck::{Micros, Outcome, RequestId, WorkerId};
@@ -44,7 +45,7 @@
 }
 
 impl Speech {
-    fn read(&mut self, conn: &mut crate::net::conn::Connection) -> News {
+    fn read(&mut self, conn: &mut Connection) -> News {
         match self {
             Speech::Http(answer) => answer.read(conn),
             Speech::Submission(submitted) => submitted.read(conn),
@@ -60,6 +61,8 @@
     sent: Micros,
     /// It had carried an earlier request, and nothing has come since this one.
     untried: bool,
+    /// The last byte of its request has left.
+    written: bool,
     /// The job that it carries runs.
     started: bool,
     /// When something is to be done about it: connected, probed or idle for too long.
@@ -74,12 +77,26 @@
             speech: Some(speech),
             sent,
             untried: false,
+            written: false,
             started: false,
             due: None,
         }
     }
 }
 
+impl Link {
+    /// Counts a call once its last byte has left. Guards against counting one that was given up, or whose connection
+    /// never came up: no worker has it.
+    fn note_written(&mut self, conn: &Connection, core: &mut Core) {
+        if let Errand::Call(id, _) = self.errand {
+            let left = !conn.is_connecting() && conn.output.is_empty();
+            if left && !std::mem::replace(&mut self.written, left) {
+                core.call_written(id);
+            }
+        }
+    }
+}
+
 pub struct Figures {
     pub reads: Reads,
     pub reports: bool,
@@ -97,6 +114,8 @@
     figures: Figures,
     links: HashMap<Token, Link>,
     calls: HashMap<(RequestId, u32), Token>,
+    /// Calls of which something may still be to be written.
+    writing: Vec<Token>,
     /// Idle connections, the last used at the end.
     idle: HashMap<WorkerId, Vec<Token>>,
     due: BTreeSet<(Micros, Token)>,
@@ -110,6 +129,7 @@
             figures,
             links: HashMap::new(),
             calls: HashMap::new(),
+            writing: Vec::new(),
             idle: HashMap::new(),
             due: BTreeSet::new(),
             distrust: Micros(0),
@@ -205,6 +225,7 @@
         };
         if let Errand::Call(id, attempt) = link.errand {
             self.calls.insert((id, attempt), token);
+            self.writing.push(token);
         }
         self.links.insert(token, link);
         self.set_due(token, due);
@@ -280,6 +301,30 @@
         }
     }
 
+    /// To be called when all was written out that the sockets take: counts the calls that have wholly left.
+    pub fn written(&mut self, net: &mut Net, core: &mut Core) {
+        let links = &mut self.links;
+        self.writing.retain(|token| {
+            let link = links.get_mut(token);
+            let link = link.filter(|l| matches!(l.errand, Errand::Call(..)));
+            let (Some(link), Some(conn)) = (link, net.get(*token)) else {
+                return false;
+            };
+            link.note_written(conn, core);
+            !link.written
+        });
+    }
+
+    /// The worker gets nothing new from now on: calls that still wait for a connection are not made.
+    pub fn hold_back(&mut self, now: Micros, worker: WorkerId, net: &mut Net, core: &mut Core) {
+        let mut waits = |token: &Token| net.get(*token).is_some_and(|conn| conn.is_connecting());
+        let links = self.links.iter().filter(|(_, l)| l.worker == worker);
+        let tokens: Vec<Token> = links.map(|(t, _)| *t).filter(|t| waits(t)).collect();
+        for token in tokens {
+            self.broke(now, token, Outcome::ConnectFailed, net, core);
+        }
+    }
+
     /// Closes all idle connections, and keeps none for a while.
     fn stop_keeping(&mut self, now: Micros, net: &mut Net) {
         if now >= self.distrust {
@@ -309,6 +354,7 @@
             self.drop_link(token, net);
             return self.stop_keeping(now, net);
         }
+        link.note_written(conn, core);
         link.untried &= conn.input.is_empty();
         let found_dead = link.untried && (conn.broken || conn.eof);
         let connected = !conn.is_connecting();
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -138,6 +138,7 @@
         match words {
             ["start", rest @ ..] => self.start(rest, payload),
             ["consumer", name] => self.connect(name, "consumers"),
+            ["operator", name] => self.connect(name, "operators"),
             ["submitter", name] => self.connect(name, "submitters"),
             ["accept", name, "at", listener] => self.accept(name, listener),
             ["quiet", listener] => {
@@ -145,6 +146,10 @@
                     self.fail("a connection that nobody asked for");
                 }
             }
+            ["fill", listener] => {
+                rustix::net::listen(&self.listeners[*listener], 0).unwrap();
+                self.connect("filler", listener);
+            }
             ["refuse", listener] => drop(self.listeners.remove(*listener)),
             ["crowd", count] => {
                 for n in 0..count.parse().unwrap() {
@@ -166,6 +171,10 @@
                 }
             }
             [name, "closes"] => drop(self.connections.remove(*name)),
+            [name, "half-closes"] => {
+                let half = std::net::Shutdown::Write;
+                self.connections[*name].stream.shutdown(half).unwrap();
+            }
             [name, "closed"] => self.closed(name),
             ["log"] => self.logged(payload),
             ["sleep", ms] => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
@@ -210,6 +219,7 @@
         let sockets = limit("sockets=").unwrap_or("1024");
         let memory = limit("memory=").unwrap_or("192");
         let descriptors = limit("nofile=").unwrap_or("1024");
+        let ops = limit("ops=");
         ["directory"]
             .iter()
             .chain(&workers)
@@ -226,6 +236,9 @@
         let config = config.replace("\"MEMBERS\"", &members.join(","));
         let config = config.replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
         let config = config.replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory}"));
+        let connect = limit("connect=").unwrap_or("250000");
+        let timeout = "\"connect-timeout-us\":";
+        let config = config.replace(&format!("{timeout}250000"), &format!("{timeout}{connect}"));
         let path = self.folder.join("config.json");
         fs::write(&path, &config).unwrap();
         self.config = config;
@@ -236,6 +249,7 @@
             .env("LB_CONFIG", path)
             .env("LB_LISTEN", "127.0.0.1:0")
             .env("LB_DISCOVERY", &self.values["directory"])
+            .envs(ops.map(|addr| ("LB_OPS", addr)))
             .stderr(Stdio::piped());
         if !front.is_empty() {
             let path = self.folder.join("submission.toml");
@@ -255,6 +269,9 @@
         if !front.is_empty() {
             self.logged(b"takes submissions at <submitters>\n");
         }
+        if ops.is_some() {
+            self.logged(b"answers operators at <operators>\n");
+        }
         self.logged(b"serves at <consumers>\n");
     }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,7 +48,7 @@
     rng: oorandom::Rand64,
     /// The global bucket, then one for each tenant.
     buckets: Vec<Bucket>,
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
     /// How far the walk of the probes has come.
     cursor: usize,
     requests: HashMap<RequestId, Request>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a dispatcher remembers of workers and requests: data and look-ups. Nothing is decided here.
 
 use crate::api::*;
+use crate::decide::Dispatcher;
 use std::collections::BTreeMap;
 use std::ops::{Index, IndexMut};
 
@@ -228,6 +229,14 @@
     }
 }
 
+impl Dispatcher {
+    /// Whether this worker is left alone now because it failed lately.
+    pub fn rests(&self, now: Micros, worker: WorkerId) -> bool {
+        let known = self.fleet.find(worker);
+        known.is_some_and(|w| now < self.fleet[w].avoid_until)
+    }
+}
+
 impl Index<usize> for Fleet {
     type Output = Worker;
     fn index(&self, w: usize) -> &Worker {
