Leave new connections alone where others that asked once and stay can make room

`Consumers::make_room` closes what has said nothing before what is idle. Once the idle crowd fills the table, each new connection is the only silent one, and makes room for the next, a millisecond before its request arrives.

Now a connection accepted less than 0.5 s ago is closed only where there is no other.

--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -26,6 +26,8 @@
 /// How long a request may take to come: the first from the accept on, any other once it has begun. Who hands
 /// over jobs sends each in one go; who says nothing, or half of something, is not to hold a descriptor.
 const SLOW: Micros = millis(2_500);
+/// For so long after its accept a connection may be waiting for its first request to arrive.
+const YOUNG: Micros = millis(500);
 
 enum Stage {
     /// Nothing has come of the next request.
@@ -48,6 +50,7 @@
 
 struct Consumer {
     stage: Stage,
+    accepted: Micros,
     /// Its place among those that can be spared; none while its request waits for an answer.
     spare: Option<(Spare, u64)>,
     /// Counts its requests, so that an entry of [`Consumers::due`] is known to be out of date.
@@ -129,7 +132,9 @@
     /// Takes the connections that wait, as many as may be held.
     pub fn accept(&mut self, now: Micros, net: &mut Net) {
         for _ in 0..ACCEPTS {
-            if self.open.len() + net.leaving(Peer::Consumer) >= self.most && !self.make_room(net) {
+            if self.open.len() + net.leaving(Peer::Consumer) >= self.most
+                && !self.make_room(now, net)
+            {
                 return self.rest(now, net);
             }
             match net.accept(self.listener) {
@@ -137,6 +142,7 @@
                 Ok(Some(token)) => {
                     let new = Consumer {
                         stage: Stage::Idle,
+                        accepted: now,
                         spare: None,
                         request: 0,
                         held: 0,
@@ -149,7 +155,7 @@
                     // No descriptor or no memory: those that wait are taken a little later.
                     log::warn!("accept: {e}");
                     for _ in 0..SPARED {
-                        self.make_room(net);
+                        self.make_room(now, net);
                     }
                     return self.rest(now, net);
                 }
@@ -164,9 +170,9 @@
     }
 
     /// How many connections may be held from now on; what is idle beyond that is closed.
-    pub fn set_most(&mut self, most: usize, net: &mut Net) {
+    pub fn set_most(&mut self, now: Micros, most: usize, net: &mut Net) {
         self.most = most;
-        while self.open.len() > most && self.make_room(net) {}
+        while self.open.len() > most && self.make_room(now, net) {}
     }
 
     fn rest(&mut self, now: Micros, net: &mut Net) {
@@ -175,19 +181,29 @@
     }
 
     /// Closes a connection to make room: one that has its answer already, else one that has said nothing or only
-    /// a part for longest, else the longest idle. One on which something has come meanwhile is left alone.
-    fn make_room(&mut self, net: &mut Net) -> bool {
+    /// a part for longest, else the longest idle. One on which something has come meanwhile is left alone, and so is
+    /// a new one while there is any other: its request is on the way, and among many that have asked once and stay
+    /// each new consumer would else make room for the next before it is heard.
+    fn make_room(&mut self, now: Micros, net: &mut Net) -> bool {
         if net.leaving(Peer::Consumer) > 0 {
             net.hasten(Peer::Consumer);
             return true;
         }
-        let mut spare = self.spare.iter();
-        let found =
-            spare.find(|((spare, _), token)| *spare == Spare::HalfRead || net.is_quiet(**token));
-        let found = found.map(|(_, token)| *token);
+        let found = self.to_spare(now, false, net);
+        let found = found.or_else(|| self.to_spare(now, true, net));
         found.map(|token| self.drop_consumer(token, net)).is_some()
     }
 
+    fn to_spare(&self, now: Micros, young: bool, net: &mut Net) -> Option<Token> {
+        let is_young = |c: &Consumer| c.request == 0 && now < c.accepted + YOUNG;
+        let mut spare = self.spare.iter();
+        let found = spare.find(|((spare, _), token)| {
+            let old = self.open.get(token).is_some_and(|c| !is_young(c));
+            (old || young) && (*spare == Spare::HalfRead || net.is_quiet(**token))
+        });
+        found.map(|(_, token)| *token)
+    }
+
     fn set_spare(&mut self, token: Token, spare: Option<Spare>) {
         if let Some(consumer) = self.open.get_mut(&token) {
             self.turns += 1;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -413,7 +413,7 @@
         let parts = 1 + usize::from(self.handover.paired());
         self.consumers.pot = self.limits.bodies / parts;
         self.consumers
-            .set_most(self.limits.consumers / parts, &mut self.net);
+            .set_most(now, self.limits.consumers / parts, &mut self.net);
         self.workers
             .set_most(self.limits.workers / parts, &mut self.net);
         if let Some(ops) = &mut self.ops {
