Hand on what the dispatcher has learned to the process that replaces this one

Seen: after an upgrade the new dispatcher takes every class's mean run for its aim (0.25 and 0.6 s, in truth 0.6 and 2.3) and each worker for one slot, until some twenty jobs have ended: it refuses and moves jobs as if all were short.

--- a/node/src/directory/mod.rs
+++ b/node/src/directory/mod.rs
@@ -128,6 +128,7 @@
         Bequest {
             out: self.out.clone(),
             list,
+            ..Bequest::default()
         }
     }
 
--- a/node/src/ops/mod.rs
+++ b/node/src/ops/mod.rs
@@ -21,6 +21,8 @@
 const ACCEPTS: usize = 8;
 /// How long a caller may take for its line: one may be typing it.
 const PATIENCE: Micros = millis(10_000);
+/// How long the listener rests when no descriptor is free.
+const REST: Micros = millis(50);
 /// The longest call, in bytes.
 const LONGEST: usize = 512;
 
@@ -62,6 +64,8 @@
     callers: VecDeque<(Micros, Token)>,
     /// How many there may be, those included that have had their answer.
     pub most: usize,
+    /// No caller is taken until then: there was no descriptor.
+    resting: Option<Micros>,
 }
 
 impl Ops {
@@ -72,15 +76,21 @@
             addr,
             callers: VecDeque::new(),
             most: CALLERS,
+            resting: None,
         })
     }
 
     pub fn next_wake(&self) -> Option<Micros> {
-        self.callers.front().map(|(until, _)| *until)
+        let caller = self.callers.front().map(|(until, _)| *until);
+        [caller, self.resting].into_iter().flatten().min()
     }
 
     /// Closes on the callers that took too long.
     pub fn wake(&mut self, now: Micros, net: &mut Net) {
+        if self.resting.is_some_and(|until| until <= now) {
+            self.resting = None;
+            net.listening(self.listener, true);
+        }
         while let Some((_, token)) = self.callers.pop_front_if(|(until, _)| *until <= now) {
             net.close(token);
         }
@@ -95,8 +105,11 @@
                     self.callers.push_back((now + PATIENCE, token));
                 }
                 Err(e) => {
+                    // The loop would turn without end on a caller that it cannot take.
                     log::warn!("operators: {e}");
-                    return self.make_room(net);
+                    net.listening(self.listener, false);
+                    self.resting = Some(now + REST);
+                    return;
                 }
             }
         }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -193,8 +193,13 @@
                 fs::write(self.folder.join("config.json"), text).unwrap();
                 self.signal("-HUP");
             }
-            ["succeed"] => self.succeed(),
+            ["succeed"] => self.succeed(payload),
             ["terminate"] => self.signal("-TERM"),
+            ["old", "log"] => {
+                std::mem::swap(&mut self.log, &mut self.old_log);
+                self.logged(payload);
+                std::mem::swap(&mut self.log, &mut self.old_log);
+            }
             ["old", signal] => signalled(self.old.as_ref().unwrap(), signal),
             ["hang"] => self.signal("-STOP"),
             ["kill"] => {
@@ -260,21 +265,27 @@
         fs::write(&path, &config).unwrap();
         self.config = config;
         let ops = ops.map(str::to_owned);
-        let front = (!front.is_empty()).then(|| {
-            let path = self.folder.join("submission.toml");
-            fs::write(&path, front).unwrap();
-            path
-        });
+        let front = self.front(front);
         self.spawn("127.0.0.1:0", ops.as_deref(), descriptors, front);
     }
 
+    /// The front's file, if there is one.
+    fn front(&self, text: &[u8]) -> Option<PathBuf> {
+        let path = self.folder.join("submission.toml");
+        (!text.is_empty()).then(|| {
+            fs::write(&path, text).unwrap();
+            path
+        })
+    }
+
     /// Starts another process of the node beside the one that runs.
-    fn succeed(&mut self) {
+    fn succeed(&mut self, front: &[u8]) {
         let elders = self.values["operators"].clone();
         self.values.insert("elders".to_owned(), elders);
         (self.old, self.old_log) = (self.child.take(), self.log.take());
         let listen = self.values["consumers"].clone();
-        self.spawn(&listen, Some("127.0.0.1:0"), "1024", None);
+        let front = self.front(front);
+        self.spawn(&listen, Some("127.0.0.1:0"), "1024", front);
     }
 
     fn spawn(
