--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -17,7 +17,7 @@
 pub use take_in::{Catalogue, Malformed, Order};
 
 use marbledeck::{
-    Action, Dispatcher, Entry, Event, ListKind, Lore, Micros, Outcome, Report, RequestId, Settings,
+    Action, Dispatcher, Entry, Event, ListKind, Micros, Outcome, Report, RequestId, Settings,
     SettingsError, WorkerId,
 };
 use std::collections::VecDeque;
@@ -181,16 +181,6 @@
         self.table.unanswered()
     }
 
-    /// What the dispatcher has learned, for that of a process which takes this one's place.
-    pub fn lore(&self) -> Lore {
-        self.dispatcher.lore()
-    }
-
-    /// Lets the dispatcher start from what another has learned.
-    pub fn inherit(&mut self, lore: &Lore) {
-        self.dispatcher.inherit(lore);
-    }
-
     /// From now on so many processes stand in for this node.
     pub fn share(&mut self, now: Micros, processes: u32) {
         self.dispatcher.share(now, processes);
--- a/node/src/directory/mod.rs
+++ b/node/src/directory/mod.rs
@@ -128,7 +128,6 @@
         Bequest {
             out: self.out.clone(),
             list,
-            ..Bequest::default()
         }
     }
 
--- a/node/src/handover/mod.rs
+++ b/node/src/handover/mod.rs
@@ -11,7 +11,6 @@
 
 use crate::directory::Listing;
 use crate::net::{Net, Peer, Token};
-use marbledeck::Lore;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::fs::Permissions;
@@ -30,18 +29,6 @@
     pub out: BTreeSet<String>,
     /// The directory's list as last told.
     pub list: Listing,
-    /// What the dispatcher has learned: without it the new one refuses and moves jobs for seconds as if all were short.
-    #[serde(with = "Learned", default)]
-    pub lore: Lore,
-}
-
-/// How what was learned is written.
-#[derive(Serialize, Deserialize)]
-#[serde(remote = "Lore")]
-struct Learned {
-    service: Vec<f64>,
-    mean_service: f64,
-    kinds: Vec<(u32, f64, f64, f64)>,
 }
 
 /// What one process tells the other.
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -5,7 +5,7 @@
 use crate::consumers::Consumers;
 use crate::core::{Command, Core};
 use crate::directory::Directory;
-use crate::handover::{self, Bequest, Handover, News, Word};
+use crate::handover::{self, Handover, News, Word};
 use crate::net::{Net, Peer, Ready, Token};
 use crate::ops::{self, Call, Ops};
 use crate::submission::Submissions;
@@ -166,7 +166,6 @@
             Some(_) => {
                 log::info!("{} takes over from a process that runs", config.name);
                 directory.inherit(bequest.out);
-                core.inherit(&bequest.lore);
                 bequest.list
             }
             None => config.known.unwrap_or_default(),
@@ -381,11 +380,7 @@
                 let front = self.submissions.iter().map(|front| front.listener);
                 let listeners: Vec<Token> =
                     [self.consumers.listener].into_iter().chain(front).collect();
-                let lore = self.core.lore();
-                let bequest = Bequest {
-                    lore,
-                    ..self.directory.bequest()
-                };
+                let bequest = self.directory.bequest();
                 let (handover, net) = (&mut self.handover, &mut self.net);
                 handover.bequeath(heir, &bequest, &listeners, net);
             }
--- a/src/api.rs
+++ b/src/api.rs
@@ -373,18 +373,6 @@
     pub report: Option<Report>,
 }
 
-/// What a dispatcher has learned of workers and jobs, for one that takes its place.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Lore {
-    /// Mean seconds of an attempt, for each class.
-    pub service: Vec<f64>,
-    /// The same over all.
-    pub mean_service: f64,
-    /// What is known of each kind of worker: its slots, the part of them that other dispatchers hold, and how many
-    /// reports that comes from.
-    pub kinds: Vec<(u32, f64, f64, f64)>,
-}
-
 /// Something that has happened.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -55,8 +55,8 @@
     /// Requests that wait for the answers of probes.
     held: Vec<RequestId>,
     /// Mean seconds of an attempt by class, and over all.
-    pub(crate) service: Vec<f64>,
-    pub(crate) mean_service: f64,
+    service: Vec<f64>,
+    mean_service: f64,
     /// When this dispatcher started.
     born: Micros,
     /// When the list is next asked for, if no watch is on.
--- a/src/state.rs
+++ b/src/state.rs
@@ -244,35 +244,6 @@
         }
     }
 
-    /// What has been learned so far.
-    pub fn lore(&self) -> Lore {
-        let kinds = self.fleet.kinds.iter();
-        Lore {
-            service: self.service.clone(),
-            mean_service: self.mean_service,
-            kinds: kinds
-                .map(|(id, k)| (id.0, k.slots, k.typical, k.reports))
-                .collect(),
-        }
-    }
-
-    /// Starts from what another has learned. What makes no sense is passed over.
-    pub fn inherit(&mut self, lore: &Lore) {
-        let sound = |secs: &f64| secs.is_finite() && *secs > 0.0;
-        for (mean, told) in self.service.iter_mut().zip(&lore.service) {
-            *mean = Some(*told).filter(sound).unwrap_or(*mean);
-        }
-        self.mean_service = Some(lore.mean_service)
-            .filter(sound)
-            .unwrap_or(self.mean_service);
-        for (id, slots, typical, reports) in &lore.kinds {
-            if [slots, reports].into_iter().all(sound) && (0.0..=1.0).contains(typical) {
-                let kind = self.fleet.kinds.entry(KindId(*id)).or_default();
-                (kind.slots, kind.typical, kind.reports) = (*slots, *typical, *reports);
-            }
-        }
-    }
-
     /// Whether this worker is left alone now because it failed lately.
     pub fn rests(&self, now: Micros, worker: WorkerId) -> bool {
         let known = self.fleet.find(worker);
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -234,28 +234,3 @@
     rig.place(0, 1);
     assert!(sent(&rig.at(0, job_of(2, 0))).is_none());
 }
-
-/// A dispatcher that takes another's place starts from what that one has learned: without it a job whose class runs for
-/// long is told as one that can spare little, and is refused before others that wait no longer.
-#[test]
-fn what_was_learned_is_handed_on() {
-    let mut rig = Rig::new(settings(Effect::Safe), 1);
-    for id in 1..=40 {
-        let now = id * 5 * SECOND;
-        let to = rig.place(now, id);
-        rig.at(now, Event::Started(RequestId(id), 0));
-        rig.end(now + 4 * SECOND, id, 0, to, Outcome::Ok);
-    }
-    let lore = rig.dispatcher.lore();
-    assert!((3.5..=4.0).contains(&lore.service[0]), "{lore:?}");
-    let mut heir = Rig::new(settings(Effect::Safe), 1);
-    heir.dispatcher.inherit(&lore);
-    assert_eq!(heir.dispatcher.lore(), lore);
-    let nonsense = Lore {
-        service: vec![f64::NAN],
-        mean_service: -1.0,
-        kinds: vec![(0, f64::INFINITY, 9.0, 1.0)],
-    };
-    heir.dispatcher.inherit(&nonsense);
-    assert_eq!(heir.dispatcher.lore(), lore);
-}
