--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -260,12 +260,24 @@
     /// Jobs of one `runBulkJobs`.
     #[serde(default = "defaults::max_bulk")]
     pub max_bulk: usize,
+    /// Job sessions.
+    #[serde(default = "defaults::max_sessions")]
+    pub max_sessions: usize,
+    /// Events that a session remembers.
+    #[serde(default = "defaults::history")]
+    pub history: usize,
     /// Submitters connected at a time.
     #[serde(default = "defaults::max_submitters")]
     pub max_submitters: usize,
     /// How long an ended job can be asked for.
     #[serde(default = "defaults::retain_s")]
     pub retain_s: u64,
+    /// How long a job may wait before it is handed to the decisions.
+    #[serde(default = "defaults::a_day_s")]
+    pub hold_s: u64,
+    /// How long a session is kept that has neither jobs nor readers.
+    #[serde(default = "defaults::a_day_s")]
+    pub session_s: u64,
 }
 
 mod defaults {
@@ -273,14 +285,23 @@
         128 * 1024
     }
     pub fn max_jobs() -> usize {
-        8192
+        16_384
     }
     pub fn max_bytes() -> usize {
         48 * 1024 * 1024
     }
     pub fn max_bulk() -> usize {
+        10_000
+    }
+    pub fn max_sessions() -> usize {
         256
     }
+    pub fn history() -> usize {
+        4096
+    }
+    pub fn a_day_s() -> u64 {
+        86_400
+    }
     pub fn max_submitters() -> usize {
         64
     }
@@ -307,11 +328,15 @@
         let config: Self = keyed(source, read, |e: &toml::de::Error| e.message().to_owned())?;
         let wanted = [
             ("max_line", config.max_line, 1024, 160 * 1024),
-            ("max_jobs", config.max_jobs, 1, 65536),
-            ("max_bytes", config.max_bytes, 1024, 64 * 1024 * 1024),
-            ("max_bulk", config.max_bulk, 1, 4096),
+            ("max_jobs", config.max_jobs, 1, 262_144),
+            ("max_bytes", config.max_bytes, 1024, 256 * 1024 * 1024),
+            ("max_bulk", config.max_bulk, 1, 65_536),
+            ("max_sessions", config.max_sessions, 1, 4096),
+            ("history", config.history, 16, 65_536),
             ("max_submitters", config.max_submitters, 1, 256),
-            ("retain_s", config.retain_s as usize, 1, 86400),
+            ("retain_s", config.retain_s as usize, 1, 86_400),
+            ("hold_s", config.hold_s as usize, 1, 604_800),
+            ("session_s", config.session_s as usize, 1, 604_800),
         ];
         for (key, value, least, most) in wanted {
             if !(least..=most).contains(&value) {
@@ -324,25 +349,3 @@
         Ok(config)
     }
 }
-
-/// What the command line says.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub struct Arguments {
-    pub submission: Option<PathBuf>,
-}
-
-impl Arguments {
-    pub fn read(mut words: impl Iterator<Item = String>) -> Result<Self, ConfigError> {
-        let mut arguments = Arguments::default();
-        while let Some(word) = words.next() {
-            match word.as_str() {
-                "--submission" => match words.next() {
-                    Some(path) => arguments.submission = Some(path.into()),
-                    None => return err("--submission", "want a file"),
-                },
-                _ => return err(word, "unknown argument; known: --submission FILE"),
-            }
-        }
-        Ok(arguments)
-    }
-}
--- a/node/src/core/admit.rs
+++ b/node/src/core/admit.rs
@@ -26,6 +26,18 @@
         sent
     }
 
+    /// Takes an invocation back for which no call was ever made: it gets no answer. Tells whether it could be.
+    pub fn recall(&mut self, now: Micros, id: RequestId) -> bool {
+        let unsent = self
+            .table
+            .get(id)
+            .is_some_and(|i| !i.answered && i.calls.is_empty());
+        if unsent {
+            self.gone(now, id);
+        }
+        unsent
+    }
+
     /// Ends all that is still open, since the process is about to be killed: a consumer that hears so can come back to
     /// the process that has replaced this one. The dispatcher says how each ends, as it does where no worker is left.
     pub fn settle(&mut self, now: Micros) {
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -79,7 +79,9 @@
         sent: Option<Micros>,
     },
     /// A worker has begun to run the invocation.
-    Running(RequestId),
+    Running(RequestId, WorkerId),
+    /// It ran, has come back without a final answer, and no worker runs it now.
+    Requeued(RequestId),
 }
 
 /// All that the node decides and remembers of its invocations.
@@ -95,6 +97,8 @@
     pending: VecDeque<Event>,
     actions: Vec<Action>,
     commands: VecDeque<Command>,
+    /// Invocations of which a call that ran has come back.
+    returned: Vec<RequestId>,
 }
 
 impl Core {
@@ -120,6 +124,7 @@
             pending: VecDeque::new(),
             actions: Vec::new(),
             commands: VecDeque::new(),
+            returned: Vec::new(),
         })
     }
 
@@ -222,5 +227,10 @@
             }
             self.actions = actions;
         }
+        for id in std::mem::take(&mut self.returned) {
+            if self.table.get(id).is_some_and(|i| !i.answered && !i.runs()) {
+                self.commands.push_back(Command::Requeued(id));
+            }
+        }
     }
 }
--- a/node/src/core/relay.rs
+++ b/node/src/core/relay.rs
@@ -6,11 +6,13 @@
 impl Core {
     /// A worker has begun to run a call.
     pub fn call_started(&mut self, now: Micros, id: RequestId, attempt: u32) {
-        if self.table.out(id, attempt).is_none() {
+        let Some(call) = self.table.out(id, attempt) else {
             return;
-        }
+        };
+        call.started = true;
+        let worker = call.worker;
         if self.table.get(id).is_some_and(|i| !i.answered) {
-            self.commands.push_back(Command::Running(id));
+            self.commands.push_back(Command::Running(id, worker));
         }
         self.pending.push_back(Event::Started(id, attempt));
         self.decide(now);
@@ -50,10 +52,14 @@
             return;
         };
         call.out = false;
+        let started = call.started;
         call.never_ran = outcome.never_ran();
         let (worker, latency) = (call.worker, now - call.sent);
         let closed = self.table.get(id).is_none_or(|i| i.answered);
         self.counts.end(outcome);
+        if started && !closed {
+            self.returned.push(id);
+        }
         self.pending.push_back(Event::Ended(Ended {
             id,
             attempt,
--- a/node/src/core/route.rs
+++ b/node/src/core/route.rs
@@ -24,6 +24,7 @@
             worker,
             sent: now,
             out: may,
+            started: false,
             never_ran: !may,
         });
         if may {
--- a/node/src/core/table.rs
+++ b/node/src/core/table.rs
@@ -9,6 +9,8 @@
     pub worker: WorkerId,
     pub sent: Micros,
     pub out: bool,
+    /// A worker has told that it runs.
+    pub started: bool,
     /// Proved never to have run.
     pub never_ran: bool,
 }
@@ -22,6 +24,11 @@
 }
 
 impl Invocation {
+    /// Whether a call is out that a worker runs.
+    pub fn runs(&self) -> bool {
+        self.calls.iter().any(|call| call.out && call.started)
+    }
+
     /// When it was last sent by a call that may have run.
     pub fn last_sent(&self) -> Option<Micros> {
         let may_have_run = self.calls.iter().filter(|c| !c.never_ran);
--- a/node/src/core/take_in.rs
+++ b/node/src/core/take_in.rs
@@ -78,6 +78,26 @@
         Some((ClassId(at as u32), &self.classes[at].1))
     }
 
+    /// The positions of an order's class and tenant.
+    ///
+    /// # Errors
+    /// What makes no sense with these settings, whatever the load.
+    pub fn check(
+        &self,
+        class: &str,
+        tenant: Option<&str>,
+        keyed: bool,
+    ) -> Result<(ClassId, TenantId), Malformed> {
+        let found = self.class(class);
+        let (id, figures) = found.ok_or_else(|| Malformed::UnknownClass(class.into()))?;
+        let unknown = || Malformed::UnknownTenant(tenant.unwrap_or_default().into());
+        let tenant = self.tenant(tenant).ok_or_else(unknown)?;
+        if matches!(figures.effect, Effect::Keyed(..)) && !keyed {
+            return Err(Malformed::MissingKey);
+        }
+        Ok((id, tenant))
+    }
+
     /// The longest deadline of any class.
     pub fn longest(&self) -> Micros {
         let all = self.classes.iter().map(|(_, figures)| figures.deadline);
@@ -100,14 +120,8 @@
 impl Core {
     /// Takes an order in. From here on it gets exactly one final answer.
     pub fn take_in(&mut self, now: Micros, order: Order) -> Result<RequestId, Malformed> {
-        let class = self.catalogue.class(order.class);
-        let (class, figures) = class.ok_or_else(|| Malformed::UnknownClass(order.class.into()))?;
-        let tenant = self.catalogue.tenant(order.tenant);
-        let unknown = || Malformed::UnknownTenant(order.tenant.unwrap_or_default().into());
-        let tenant = tenant.ok_or_else(unknown)?;
-        if matches!(figures.effect, Effect::Keyed(..)) && order.work.key.is_none() {
-            return Err(Malformed::MissingKey);
-        }
+        let keyed = order.work.key.is_some();
+        let (class, tenant) = self.catalogue.check(order.class, order.tenant, keyed)?;
         if order.time_left == Micros(0) {
             return Err(Malformed::NoTimeLeft);
         }
--- a/node/src/directory/mod.rs
+++ b/node/src/directory/mod.rs
@@ -2,7 +2,6 @@
 
 use crate::clock::{millis, Clock};
 use crate::core::Core;
-use crate::handover::Bequest;
 use crate::net::http::{self, Body};
 use crate::net::{Net, Peer, Token};
 use marbledeck::{CellId, Entry, KindId, ListKind, Micros, State, WorkerId, ZoneId};
@@ -47,6 +46,15 @@
     pub up_since_ms: u64,
 }
 
+/// What another process of this node can start from.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct Bequest {
+    /// The workers taken out by hand.
+    pub out: BTreeSet<String>,
+    /// The directory's list as last told.
+    pub list: Listing,
+}
+
 /// The phase of a worker that has left the list.
 const GONE: &str = "removed";
 
@@ -154,6 +162,16 @@
         }
     }
 
+    /// The workers in the list by their ids, and whether each is out by hand.
+    pub fn members(&self) -> Vec<(WorkerId, &Member, bool)> {
+        let listed = self.listed.iter();
+        let mut members: Vec<_> = listed
+            .map(|(worker, member)| (*worker, member, self.out.contains(&member.id)))
+            .collect();
+        members.sort_by(|a, b| a.1.id.cmp(&b.1.id));
+        members
+    }
+
     /// How many workers are in the list, and how many of them are out by hand or as `resting` tells.
     pub fn count(&self, resting: impl Fn(WorkerId) -> bool) -> (usize, usize) {
         let avoided = |(worker, member): &(&WorkerId, &Member)| {
--- a/node/src/handover/meet.rs
+++ b/node/src/handover/meet.rs
@@ -1,9 +1,10 @@
 //! The start of a process that may replace another: it asks at the path where that one would listen.
 
-use super::{Bequest, HEAD};
+use super::HEAD;
 use crate::net::PASSED;
 use rustix::fd::OwnedFd;
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
+use serde::de::DeserializeOwned;
 use std::io::{self, IoSliceMut, Read};
 use std::mem::MaybeUninit;
 use std::os::unix::net::UnixStream;
@@ -16,14 +17,14 @@
 const LONGEST: usize = 1 << 20;
 
 /// What the running process has handed on.
-pub struct Met {
+pub struct Met<T> {
     pub link: UnixStream,
     pub listeners: Vec<OwnedFd>,
-    pub bequest: Bequest,
+    pub bequest: T,
 }
 
 /// Asks the running process, if there is one.
-pub fn meet(path: &Path) -> Option<Met> {
+pub fn meet<T: DeserializeOwned>(path: &Path) -> Option<Met<T>> {
     match ask(path) {
         Ok(met) => Some(met),
         Err(e) if e.kind() == io::ErrorKind::NotFound => None,
@@ -34,7 +35,7 @@
     }
 }
 
-fn ask(path: &Path) -> io::Result<Met> {
+fn ask<T: DeserializeOwned>(path: &Path) -> io::Result<Met<T>> {
     let until = Instant::now() + PATIENCE;
     let link = UnixStream::connect(path)?;
     // No byte more than the bequest: what follows are words for the loop.
--- a/node/src/handover/mod.rs
+++ b/node/src/handover/mod.rs
@@ -9,10 +9,9 @@
 
 pub use meet::meet;
 
-use crate::directory::Listing;
 use crate::net::{Net, Peer, Token};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use serde_json::Value;
 use std::fs::Permissions;
 use std::io;
 use std::os::unix::fs::PermissionsExt;
@@ -22,13 +21,20 @@
 /// The bequest begins with its length: eight hexadecimal digits and a line's end.
 const HEAD: usize = 9;
 
-/// What the running process knows that the next one is to start from.
-#[derive(Debug, Default, Serialize, Deserialize)]
-pub struct Bequest {
-    /// The workers taken out by hand.
-    pub out: BTreeSet<String>,
-    /// The directory's list as last told.
-    pub list: Listing,
+/// Words for a partner wait while more than this is still to be sent to it.
+const BACKLOG: usize = 64 * 1024;
+
+/// Which of the two partners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// The process that this one replaces.
+    Predecessor,
+    /// The process that replaces this one.
+    Successor,
+}
+
+impl Side {
+    pub const BOTH: [Side; 2] = [Side::Predecessor, Side::Successor];
 }
 
 /// What one process tells the other.
@@ -43,16 +49,20 @@
     Serving,
     /// The old process takes nothing more.
     Ending,
+    /// The parties that the new process has; said only to one that has named its own.
+    Parties(Vec<String>),
+    /// A word of the party of this name.
+    Party(String, Value),
 }
 
 /// What has come of a link.
 #[derive(Debug, PartialEq, Eq)]
 pub enum News {
-    /// A process has come to replace this one; it wants a [`Bequest`].
+    /// A process has come to replace this one; it wants what is [bequeathed](Handover::bequeath).
     Successor(Token),
-    Told(Word),
+    Told(Side, Word),
     /// One of the partners is gone.
-    Lost,
+    Lost(Side),
 }
 
 pub struct Handover {
@@ -111,7 +121,13 @@
     }
 
     /// Hands these listeners and what is known to the successor.
-    pub fn bequeath(&mut self, heir: Token, bequest: &Bequest, listeners: &[Token], net: &mut Net) {
+    pub fn bequeath(
+        &mut self,
+        heir: Token,
+        bequest: &impl Serialize,
+        listeners: &[Token],
+        net: &mut Net,
+    ) {
         let body = serde_json::to_string(bequest).unwrap_or_default();
         let message = format!("{:08x}\n{body}", body.len());
         if let Err(e) = net.pass(heir, message.as_bytes(), listeners) {
@@ -127,13 +143,17 @@
             net.close(token);
             return None;
         };
+        let side = match self.successor == Some(token) {
+            true => Side::Successor,
+            false => Side::Predecessor,
+        };
         let bytes = conn.input.all();
         let Some(end) = bytes.iter().position(|b| *b == b'\n') else {
             // A word has its end within the ring; one that has not is none.
             let over = conn.eof || conn.broken || conn.input.is_full();
             return over.then(|| {
                 self.drop_link(token, net);
-                News::Lost
+                News::Lost(side)
             });
         };
         let word = serde_json::from_slice(&bytes[..end]);
@@ -144,12 +164,12 @@
             Ok(word) => {
                 self.succeeded |= word == Word::Serving;
                 self.preceded |= word == Word::Ending && self.predecessor == Some(token);
-                Some(News::Told(word))
+                Some(News::Told(side, word))
             }
             Err(e) => {
                 log::warn!("handover: {e}");
                 self.drop_link(token, net);
-                Some(News::Lost)
+                Some(News::Lost(side))
             }
         }
     }
@@ -165,6 +185,39 @@
         }
     }
 
+    fn of(&self, side: Side) -> Option<Token> {
+        match side {
+            Side::Predecessor => self.predecessor,
+            Side::Successor => self.successor,
+        }
+    }
+
+    /// Whether a word more may be told to this partner: there is one, and it reads.
+    pub fn has_room(&self, side: Side, net: &mut Net) -> bool {
+        self.of(side)
+            .is_some_and(|token| net.has_room(token, BACKLOG))
+    }
+
+    /// Tells one partner; one that reads nothing is none. Tells whether it is there still.
+    pub fn tell_to(&mut self, side: Side, word: &Word, net: &mut Net) -> bool {
+        let Some(token) = self.of(side) else {
+            return true;
+        };
+        let mut line = serde_json::to_vec(word).unwrap_or_default();
+        line.push(b'\n');
+        let fits = net.write(token, &line);
+        if !fits {
+            self.drop_link(token, net);
+        }
+        fits
+    }
+
+    /// Whether all that was told to the successor has left.
+    pub fn is_flushed(&self, net: &mut Net) -> bool {
+        let successor = self.successor.and_then(|token| net.get(token));
+        successor.is_none_or(|conn| conn.output.is_empty())
+    }
+
     pub fn drop_link(&mut self, token: Token, net: &mut Net) {
         net.close(token);
         if self.successor == Some(token) {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -11,5 +11,6 @@
 mod net;
 pub mod node;
 mod ops;
+mod party;
 mod submission;
 mod workers;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,16 +1,82 @@
-//! Reads the configuration, starts the node and serves until SIGTERM. SIGHUP reads it anew.
+//! The program: without a command it is the node, which reads the configuration and serves until SIGTERM; with one, it
+//! speaks to a node's submission front.
 #![forbid(unsafe_code)]
 
-use marbledeck_node::config::{Arguments, Config, SubmissionConfig};
+use clap::{Args, CommandFactory, Parser, Subcommand};
+use marbledeck_cli::{Common, JobCommand, NodeCommand, SessionCommand};
+use marbledeck_node::config::{Config, SubmissionConfig};
 use marbledeck_node::logger;
 use marbledeck_node::node::{Node, Signals};
 use std::error::Error;
 use std::io;
 use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Spreads thumbnail jobs over render workers
+#[derive(Parser)]
+#[command(name = "marbledeck", version, args_conflicts_with_subcommands = true)]
+#[command(
+    after_help = "Without a command it serves, as the environment says: LB_CONFIG, LB_LISTEN, LB_DISCOVERY, LB_OPS.\n\
+                  Exit status: 0 done, 1 a job has failed, 2 usage, 3 denied, 4 no connection, 75 refused for now, \
+                  124 a wait timed out."
+)]
+struct Arguments {
+    #[command(flatten)]
+    serve: Serve,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Args)]
+struct Serve {
+    /// The file of the front for batch submission, which is off without it
+    #[arg(long, value_name = "FILE")]
+    submission: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+#[expect(clippy::large_enum_variant, reason = "made once, at the start")]
+enum Command {
+    /// Run the node, as without a command
+    Serve(Serve),
+    /// Hand in jobs, ask after them, control them
+    #[command(subcommand)]
+    Job(JobCommand),
+    /// Job sessions
+    #[command(subcommand)]
+    Session(SessionCommand),
+    /// The classes of jobs
+    Queues(Common),
+    /// The render workers
+    Machines(Common),
+    /// What the submission front supports and what not
+    Capabilities(Common),
+    /// Print the completions for a shell
+    Completions { shell: clap_complete::Shell },
+}
+
 fn main() -> ExitCode {
-    match run() {
+    let arguments = Arguments::parse();
+    let served = match arguments.command {
+        None => serve(arguments.serve),
+        Some(Command::Serve(how)) => serve(how),
+        Some(Command::Job(command)) => return marbledeck_cli::job(command),
+        Some(Command::Session(command)) => return marbledeck_cli::session(command),
+        Some(Command::Queues(common)) => return marbledeck_cli::node(NodeCommand::Queues(common)),
+        Some(Command::Machines(common)) => {
+            return marbledeck_cli::node(NodeCommand::Machines(common))
+        }
+        Some(Command::Capabilities(common)) => {
+            return marbledeck_cli::node(NodeCommand::Capabilities(common))
+        }
+        Some(Command::Completions { shell }) => {
+            let mut command = Arguments::command();
+            clap_complete::generate(shell, &mut command, "marbledeck", &mut io::stdout());
+            Ok(())
+        }
+    };
+    match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("marbledeck: {what}");
@@ -19,9 +85,8 @@
     }
 }
 
-fn run() -> Result<(), Box<dyn Error>> {
-    let arguments = Arguments::read(std::env::args().skip(1))?;
-    let submission = arguments.submission.as_deref().map(SubmissionConfig::read);
+fn serve(how: Serve) -> Result<(), Box<dyn Error>> {
+    let submission = how.submission.as_deref().map(SubmissionConfig::read);
     let submission = submission.transpose()?;
     // Before all else: a signal that comes while the node starts is neither lost nor its end.
     let signals = Signals {
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -28,6 +28,9 @@
 /// What is held of what a consumer sends: its longest head. Bodies are taken out as they come.
 const CONSUMER_RING: usize = http::MAX_HEAD + 4096;
 
+/// What a link between two processes of the node holds: a job with its input and its result, both escaped.
+const PARTNER_RING: usize = 1024 * 1024;
+
 /// The most listeners passed to another process at a time: the consumers' and the submitters'.
 pub const PASSED: usize = 2;
 
@@ -36,6 +39,11 @@
 pub struct Token(u64);
 
 impl Token {
+    /// Its number, as unique as it is.
+    pub fn number(self) -> u64 {
+        self.0
+    }
+
     fn index(self) -> usize {
         (self.0 & 0xffff_ffff) as usize
     }
@@ -47,8 +55,9 @@
     Consumer,
     Worker,
     Directory,
-    Submitter,
     Operator,
+    /// One that has registered with the loop, by its number.
+    Party(u8),
     /// The other process of this node, while one replaces the other.
     Partner,
     /// SIGTERM.
@@ -186,7 +195,7 @@
 
     /// Takes on a connection that is open already.
     pub fn join(&mut self, fd: OwnedFd, peer: Peer) -> io::Result<Token> {
-        let conn = Connection::new(fd, State::Open, RING, RING);
+        let conn = Connection::new(fd, State::Open, PARTNER_RING, PARTNER_RING);
         self.enter(peer, Socket::Stream(Box::new(conn)))
     }
 
@@ -234,11 +243,12 @@
         };
         // Answers are small and wanted at once.
         let _ = sockopt::set_tcp_nodelay(&fd, true);
-        let cap = match peer {
-            Peer::Consumer => CONSUMER_RING,
-            _ => RING,
+        let (input, output) = match peer {
+            Peer::Consumer => (CONSUMER_RING, RING),
+            Peer::Partner => (PARTNER_RING, PARTNER_RING),
+            _ => (RING, RING),
         };
-        let conn = Connection::new(fd, State::Open, cap, RING);
+        let conn = Connection::new(fd, State::Open, input, output);
         self.enter(peer, Socket::Stream(Box::new(conn))).map(Some)
     }
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -4,15 +4,17 @@
 use crate::config::{Config, ConfigError, SubmissionConfig};
 use crate::consumers::Consumers;
 use crate::core::{Command, Core};
-use crate::directory::Directory;
-use crate::handover::{self, Handover, News, Word};
+use crate::directory::{self, Directory};
+use crate::handover::{self, Handover, News, Side, Word};
 use crate::net::{Net, Peer, Ready, Token};
 use crate::ops::{self, Call, Ops};
+use crate::party::{Hub, Party};
 use crate::submission::Submissions;
 use crate::workers::{Figures, Workers};
 use marbledeck::Micros;
 use marbledeck_facts::{worker_id, Facts};
 use rustix::fd::OwnedFd;
+use serde::{Deserialize, Serialize};
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -42,13 +44,12 @@
 
 pub struct Node {
     clock: Clock,
-    net: Net,
-    core: Core,
+    hub: Hub,
     consumers: Consumers,
-    workers: Workers,
-    directory: Directory,
-    submissions: Option<Submissions>,
-    submitters: usize,
+    /// The peers that have registered themselves, by their numbers.
+    parties: Vec<Box<dyn Party>>,
+    /// The descriptors that the parties may hold.
+    spared: usize,
     ops: Option<Ops>,
     handover: Handover,
     limits: Limits,
@@ -67,9 +68,23 @@
     sharing: u32,
     /// The process that this one replaces knows that it can serve.
     announced: bool,
+    /// The names of the successor's parties.
+    heirs: Vec<String>,
+    /// For so long the successor may take to hear what the parties hold, once this process is to end.
+    patience: Option<Micros>,
     next_counts: Micros,
 }
 
+/// What the running process knows that the next one is to start from.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Bequest {
+    #[serde(flatten)]
+    fleet: directory::Bequest,
+    /// Its parties.
+    #[serde(default)]
+    parties: Vec<String>,
+}
+
 /// What the processes of this node may hold together.
 struct Limits {
     consumers: usize,
@@ -78,9 +93,9 @@
 }
 
 impl Limits {
-    fn of(config: &Config, submitters: usize) -> Self {
+    fn of(config: &Config, spared: usize) -> Self {
         Limits {
-            consumers: most_consumers(config.most_consumers, submitters),
+            consumers: most_consumers(config.most_consumers, spared),
             workers: config.most_worker_connections,
             bodies: config.bodies,
         }
@@ -97,9 +112,9 @@
     found.map(|at| listeners.swap_remove(at))
 }
 
-/// The submitters' descriptors come off the consumers'.
-fn most_consumers(most: usize, submitters: usize) -> usize {
-    most.saturating_sub(submitters).max(1)
+/// The parties' descriptors come off the consumers'.
+fn most_consumers(most: usize, spared: usize) -> usize {
+    most.saturating_sub(spared).max(1)
 }
 
 /// Takes what a signal's pipe holds: several signals that have come by now are one.
@@ -119,11 +134,12 @@
         let clock = Clock::start();
         let now = clock.now();
         let mut net = Net::new()?;
-        let submitters = submission.as_ref().map_or(0, |front| front.max_submitters);
-        let limits = Limits::of(&config, submitters);
+        let spared = submission.as_ref().map_or(0, |front| front.max_submitters);
+        let limits = Limits::of(&config, spared);
         let core = Core::new(config.settings, config.catalogue, config.seed, now);
         let mut core = core.map_err(io::Error::other)?;
-        let met = config.handover.as_deref().and_then(handover::meet);
+        let met = config.handover.as_deref();
+        let met = met.and_then(handover::meet::<Bequest>);
         let (link, bequest, mut listeners) = match met {
             Some(met) => (Some(met.link), met.bequest, met.listeners),
             None => Default::default(),
@@ -137,13 +153,21 @@
         let by_submission = spoken_to.map(|word| worker_id(word)).collect();
         // Ids of jobs differ between nodes and between starts.
         let prefix = format!("{}-{:x}", config.name, config.seed);
-        let submissions = submission.map(|front| {
+        let mut parties: Vec<Box<dyn Party>> = Vec::new();
+        if let Some(front) = submission {
             let listener = handed(&mut listeners, front.listen);
-            Submissions::new(front, listener, prefix, &mut net)
-        });
-        let submissions = submissions.transpose()?;
-        if let Some(front) = &submissions {
+            let peer = Peer::Party(parties.len() as u8);
+            let front = Submissions::new(front, listener, prefix, peer, &mut net)?;
             log::info!("{} takes submissions at {}", config.name, front.addr);
+            parties.push(Box::new(front));
+        }
+        if link.is_some() {
+            let theirs =
+                |party: &&mut Box<dyn Party>| bequest.parties.iter().any(|n| n == party.name());
+            parties
+                .iter_mut()
+                .filter(theirs)
+                .for_each(|party| party.met(now));
         }
         let ops = config
             .ops
@@ -165,27 +189,33 @@
         let known = match &link {
             Some(_) => {
                 log::info!("{} takes over from a process that runs", config.name);
-                directory.inherit(bequest.out);
-                bequest.list
+                directory.inherit(bequest.fleet.out);
+                bequest.fleet.list
             }
             None => config.known.unwrap_or_default(),
         };
         directory.known(now, known, &mut core);
         let link = link.map(|link| net.join(link.into(), Peer::Partner));
         let path = config.handover.as_deref();
-        let handover = Handover::new(path, link.transpose()?, &mut net);
+        let mut handover = Handover::new(path, link.transpose()?, &mut net);
+        if !bequest.parties.is_empty() {
+            let names = parties.iter().map(|party| party.name().to_owned());
+            handover.tell(&Word::Parties(names.collect()), &mut net);
+        }
         net.signal(signals.end.try_clone()?.into(), Peer::End)?;
         net.signal(signals.reload.try_clone()?.into(), Peer::Reload)?;
         log::info!("{} serves at {}", config.name, consumers.addr);
         let mut node = Node {
             clock,
-            net,
-            core,
+            hub: Hub {
+                net,
+                core,
+                workers,
+                directory,
+            },
             consumers,
-            workers,
-            directory,
-            submissions,
-            submitters,
+            parties,
+            spared,
             ops,
             handover,
             limits,
@@ -198,6 +228,8 @@
             settling: None,
             sharing: 1,
             announced: false,
+            heirs: Vec::new(),
+            patience: None,
             next_counts: now + COUNTS,
         };
         node.apportion(now);
@@ -212,16 +244,17 @@
             self.announce();
             self.settle(now);
             if self.is_over(now) {
-                log::info!("{}", self.core.by_class());
-                log::info!("ended: {}", self.core.counts());
+                log::info!("{}", self.hub.core.by_class());
+                log::info!("ended: {}", self.hub.core.counts());
                 return;
             }
-            self.net
+            self.hub
+                .net
                 .wait(self.clock.now(), self.next_wake(), &mut happened);
             // Timers first: however much has come, they are punctual.
             self.wake(self.clock.now());
             for event in happened.drain(..) {
-                if let Some(ready) = self.net.pump(event) {
+                if let Some(ready) = self.hub.net.pump(event) {
                     self.dispatch(ready);
                 }
             }
@@ -229,72 +262,87 @@
     }
 
     fn next_wake(&self) -> Option<Micros> {
-        [
-            self.core.next_wake(),
-            self.workers.next_wake(),
-            self.directory.next_wake(),
+        let own = [
+            self.hub.core.next_wake(),
+            self.hub.workers.next_wake(),
+            self.hub.directory.next_wake(),
             self.consumers.next_wake(),
-            self.submissions.as_ref().and_then(Submissions::next_wake),
             self.ops.as_ref().and_then(Ops::next_wake),
             self.ending,
             self.settling,
+            self.patience,
             Some(self.next_counts),
-        ]
-        .into_iter()
-        .flatten()
-        .min()
+        ];
+        let parties = self.parties.iter().map(|party| party.next_wake());
+        own.into_iter().chain(parties).flatten().min()
     }
 
     fn wake(&mut self, now: Micros) {
-        self.core.wake(now);
-        self.workers.wake(now, &mut self.net, &mut self.core);
-        self.directory.wake(now, &mut self.net, &mut self.core);
-        self.consumers.wake(now, &mut self.net);
-        if let Some(front) = &mut self.submissions {
-            front.wake(now, &mut self.net, &mut self.core);
+        self.hub.core.wake(now);
+        let Hub {
+            net,
+            core,
+            workers,
+            directory,
+        } = &mut self.hub;
+        workers.wake(now, net, core);
+        directory.wake(now, net, core);
+        self.consumers.wake(now, net);
+        for party in &mut self.parties {
+            party.wake(now, &mut self.hub);
+        }
+        if self.patience.is_some_and(|until| until <= now) {
+            self.patience = None;
         }
         if let Some(ops) = &mut self.ops {
-            ops.wake(now, &mut self.net);
+            ops.wake(now, &mut self.hub.net);
         }
         if self.settling.is_some_and(|due| due <= now) {
             self.settling = None;
-            log::info!("settling {} that are open", self.core.unanswered());
-            self.core.settle(now);
+            log::info!("settling {} that are open", self.hub.core.unanswered());
+            self.hub.core.settle(now);
         }
         if now >= self.next_counts {
             self.next_counts = now + COUNTS;
-            log::info!("{}", self.core.counts());
-            log::info!("{}", self.core.by_class());
+            log::info!("{}", self.hub.core.counts());
+            log::info!("{}", self.hub.core.by_class());
         }
     }
 
     fn dispatch(&mut self, event: Ready) {
         let (now, token) = (self.clock.now(), event.token);
         match event.peer {
-            Peer::Consumer if event.listener => self.consumers.accept(now, &mut self.net),
-            Peer::Consumer => self
-                .consumers
-                .ready(now, token, &mut self.net, &mut self.core),
-            Peer::Worker => self
-                .workers
-                .ready(now, token, &mut self.net, &mut self.core),
-            Peer::Directory => self
-                .directory
-                .ready(now, token, &mut self.net, &mut self.core),
-            Peer::Submitter => {
-                if let Some(front) = &mut self.submissions {
-                    match event.listener {
-                        true => front.accept(now, &mut self.net),
-                        false => front.ready(now, token, &mut self.net, &mut self.core),
-                    }
+            Peer::Consumer if event.listener => self.consumers.accept(now, &mut self.hub.net),
+            Peer::Consumer => {
+                let Hub { net, core, .. } = &mut self.hub;
+                self.consumers.ready(now, token, net, core);
+            }
+            Peer::Worker => {
+                let Hub {
+                    net, core, workers, ..
+                } = &mut self.hub;
+                workers.ready(now, token, net, core);
+            }
+            Peer::Directory => {
+                let Hub {
+                    net,
+                    core,
+                    directory,
+                    ..
+                } = &mut self.hub;
+                directory.ready(now, token, net, core);
+            }
+            Peer::Party(number) => {
+                if let Some(party) = self.parties.get_mut(usize::from(number)) {
+                    party.ready(now, event, &mut self.hub);
                 }
             }
             Peer::Operator => {
                 if let Some(ops) = &mut self.ops {
                     match event.listener {
-                        true => ops.accept(now, &mut self.net),
+                        true => ops.accept(now, &mut self.hub.net),
                         false => {
-                            if let Some(call) = ops.ready(token, &mut self.net) {
+                            if let Some(call) = ops.ready(token, &mut self.hub.net) {
                                 self.operate(now, token, call);
                             }
                         }
@@ -302,11 +350,11 @@
                 }
             }
             Peer::Partner if event.listener => {
-                let news = self.handover.accept(&mut self.net);
+                let news = self.handover.accept(&mut self.hub.net);
                 self.heard(now, news);
             }
             Peer::Partner => {
-                while let Some(news) = self.handover.ready(token, &mut self.net) {
+                while let Some(news) = self.handover.ready(token, &mut self.hub.net) {
                     self.heard(now, Some(news));
                 }
             }
@@ -321,10 +369,10 @@
         let answer = match call {
             Call::Check => self.serves(),
             Call::Vars => {
-                let (listed, avoided) = self.directory.count(|w| self.core.rests(now, w));
-                let text = ops::figures(&self.core, listed, avoided);
+                let (listed, avoided) = self.hub.directory.count(|w| self.hub.core.rests(now, w));
+                let text = ops::figures(&self.hub.core, listed, avoided);
                 if let Some(ops) = &mut self.ops {
-                    ops.say(caller, &text, &mut self.net);
+                    ops.say(caller, &text, &mut self.hub.net);
                 }
                 return;
             }
@@ -332,12 +380,12 @@
             Call::SetUp(id) => self.set_out(now, id, false),
         };
         if let Some(ops) = &mut self.ops {
-            ops.answer(caller, answer, &mut self.net);
+            ops.answer(caller, answer, &mut self.hub.net);
         }
     }
 
     fn serves(&self) -> ops::Answer {
-        match (self.ending, self.core.has_workers()) {
+        match (self.ending, self.hub.core.has_workers()) {
             (Some(_), _) => Err("ending".into()),
             (_, false) => Err("no worker is known".into()),
             _ => Ok("serving".into()),
@@ -346,14 +394,14 @@
 
     /// An operator takes a worker out or calls it back.
     fn set_out(&mut self, now: Micros, id: String, out: bool) -> ops::Answer {
-        if !self.directory.knows(&id) {
+        if !self.hub.directory.knows(&id) {
             return Err("unknown render worker".into());
         }
         let word = if out { "out" } else { "may serve" };
         let answer = format!("{id} {word}");
         self.mark_out(now, &id, out);
         let told = if out { Word::Out(id) } else { Word::Back(id) };
-        self.handover.tell(&told, &mut self.net);
+        self.handover.tell(&told, &mut self.hub.net);
         Ok(answer)
     }
 
@@ -361,10 +409,15 @@
     fn mark_out(&mut self, now: Micros, id: &str, out: bool) {
         let word = if out { "out" } else { "may serve" };
         log::info!("operators: {id} {word}");
-        self.directory.set_out(now, id, out, &mut self.core);
+        let Hub {
+            net,
+            core,
+            workers,
+            directory,
+        } = &mut self.hub;
+        directory.set_out(now, id, out, core);
         if out {
-            self.workers
-                .hold_back(now, worker_id(id), &mut self.net, &mut self.core);
+            workers.hold_back(now, worker_id(id), net, core);
         }
     }
 
@@ -373,27 +426,55 @@
         match news {
             // What this one has closed cannot be handed on: the other starts by itself.
             Some(News::Successor(heir)) if self.closed => {
-                self.handover.drop_link(heir, &mut self.net);
+                self.handover.drop_link(heir, &mut self.hub.net);
             }
             Some(News::Successor(heir)) => {
                 log::info!("another process comes to replace this one");
-                let front = self.submissions.iter().map(|front| front.listener);
-                let listeners: Vec<Token> =
-                    [self.consumers.listener].into_iter().chain(front).collect();
-                let bequest = self.directory.bequest();
-                let (handover, net) = (&mut self.handover, &mut self.net);
+                let parties = self.parties.iter().flat_map(|party| party.listeners());
+                let listeners: Vec<Token> = [self.consumers.listener]
+                    .into_iter()
+                    .chain(parties)
+                    .collect();
+                let bequest = Bequest {
+                    fleet: self.hub.directory.bequest(),
+                    parties: self.parties.iter().map(|p| p.name().to_owned()).collect(),
+                };
+                // What was told to one that came before is told to this one anew.
+                self.heirs.clear();
+                self.parties
+                    .iter_mut()
+                    .for_each(|p| p.lost(now, Side::Successor));
+                let (handover, net) = (&mut self.handover, &mut self.hub.net);
                 handover.bequeath(heir, &bequest, &listeners, net);
             }
-            Some(News::Told(Word::Out(id))) => self.mark_out(now, &id, true),
-            Some(News::Told(Word::Back(id))) => self.mark_out(now, &id, false),
-            Some(News::Told(Word::Serving)) => {
+            Some(News::Told(_, Word::Out(id))) => self.mark_out(now, &id, true),
+            Some(News::Told(_, Word::Back(id))) => self.mark_out(now, &id, false),
+            Some(News::Told(_, Word::Serving)) => {
                 log::info!("the other process serves");
+                for party in &mut self.parties {
+                    if self.heirs.iter().any(|name| name == party.name()) {
+                        party.hand_over(now, &mut self.hub);
+                    }
+                }
                 if self.ending.is_some() {
                     self.hand_over(now);
                 }
             }
-            Some(News::Told(Word::Ending)) => log::info!("the other process ends"),
-            Some(News::Lost) => log::info!("the other process is gone"),
+            Some(News::Told(_, Word::Ending)) => log::info!("the other process ends"),
+            Some(News::Told(Side::Successor, Word::Parties(names))) => self.heirs = names,
+            Some(News::Told(_, Word::Parties(_))) => {}
+            Some(News::Told(side, Word::Party(name, word))) => {
+                let mut named = self.parties.iter_mut().filter(|party| party.name() == name);
+                if let Some(party) = named.next() {
+                    party.told(now, side, word, &mut self.hub);
+                }
+            }
+            Some(News::Lost(side)) => {
+                log::info!("the other process is gone");
+                self.parties
+                    .iter_mut()
+                    .for_each(|party| party.lost(now, side));
+            }
             None => {}
         }
         self.apportion(now);
@@ -403,7 +484,7 @@
     fn announce(&mut self) {
         if !self.announced && self.serves().is_ok() {
             self.announced = true;
-            self.handover.tell(&Word::Serving, &mut self.net);
+            self.handover.tell(&Word::Serving, &mut self.hub.net);
         }
     }
 
@@ -413,21 +494,22 @@
         let parts = 1 + usize::from(self.handover.paired());
         self.consumers.pot = self.limits.bodies / parts;
         self.consumers
-            .set_most(now, self.limits.consumers / parts, &mut self.net);
-        self.workers
-            .set_most(self.limits.workers / parts, &mut self.net);
+            .set_most(now, self.limits.consumers / parts, &mut self.hub.net);
+        self.hub
+            .workers
+            .set_most(self.limits.workers / parts, &mut self.hub.net);
         if let Some(ops) = &mut self.ops {
             ops.most = ops::CALLERS / parts;
         }
         let sharing = 1 + u32::from(self.handover.shares());
         if std::mem::replace(&mut self.sharing, sharing) != sharing {
-            self.core.share(now, sharing);
+            self.hub.core.share(now, sharing);
         }
         if !self.closed {
             let succeeded = self.handover.succeeded();
-            self.consumers.set_succeeded(succeeded, &mut self.net);
-            if let Some(front) = &mut self.submissions {
-                front.set_succeeded(succeeded, &mut self.net);
+            self.consumers.set_succeeded(succeeded, &mut self.hub.net);
+            for party in &mut self.parties {
+                party.set_succeeded(succeeded, &mut self.hub);
             }
         }
     }
@@ -435,11 +517,18 @@
     /// SIGTERM has come and the successor serves: nothing is taken any more, and what is open is finished, as far as
     /// there is time.
     fn hand_over(&mut self, now: Micros) {
-        let longest = self.core.catalogue().longest().min(LONGEST);
+        let longest = self.hub.core.catalogue().longest().min(LONGEST);
         self.settling = Some(now + longest + KILLED - SETTLING);
         self.ending = Some(now + HALF_READ);
+        self.patience = Some(now + LONGEST);
+        self.close(now);
+    }
+
+    /// Nothing is taken any more.
+    fn close(&mut self, now: Micros) {
         self.closed = true;
-        self.consumers.close_idle(&mut self.net);
+        self.consumers.close_idle(&mut self.hub.net);
+        self.parties.iter_mut().for_each(|party| party.abandon(now));
     }
 
     /// SIGTERM: what is open is finished, and what still comes is served.
@@ -449,10 +538,8 @@
             log::info!("ending");
             self.ending = Some(now + ENDING);
             self.consumers.ending = true;
-            if let Some(front) = &mut self.submissions {
-                front.ending = true;
-            }
-            self.handover.tell(&Word::Ending, &mut self.net);
+            self.parties.iter_mut().for_each(|party| party.end(now));
+            self.handover.tell(&Word::Ending, &mut self.hub.net);
             if self.handover.succeeded() {
                 self.hand_over(now);
             }
@@ -469,13 +556,18 @@
         if config.facts != self.facts {
             log::warn!("reload: other settings count from the next start");
         }
-        self.limits = Limits::of(&config, self.submitters);
+        self.limits = Limits::of(&config, self.spared);
         self.apportion(now);
         let named = config.directory_in_file;
         if let Some(addr) = named.filter(|_| named != self.directory_in_file) {
             self.directory_in_file = named;
-            self.directory
-                .move_to(now, addr, &mut self.net, &mut self.core);
+            let Hub {
+                net,
+                core,
+                directory,
+                ..
+            } = &mut self.hub;
+            directory.move_to(now, addr, net, core);
         }
         log::info!("reload: done");
     }
@@ -483,60 +575,101 @@
     fn is_over(&mut self, now: Micros) -> bool {
         if self.ending.is_some_and(|due| due <= now) {
             self.ending = Some(now + HALF_READ);
-            if !std::mem::replace(&mut self.closed, true) {
-                self.consumers.close_idle(&mut self.net);
+            if !self.closed {
+                self.close(now);
             } else {
-                self.consumers.drop_half_read(&mut self.net);
+                self.consumers.drop_half_read(&mut self.hub.net);
             }
         }
-        self.closed && self.consumers.is_idle() && self.core.idle() && self.net.is_flushed()
+        let told = |party: &dyn Party| party.is_handed_over();
+        let told = self.patience.is_none()
+            || self.parties.iter().all(|party| told(&**party))
+                && self.handover.is_flushed(&mut self.hub.net);
+        let Hub { net, core, .. } = &self.hub;
+        self.closed && self.consumers.is_idle() && core.idle() && net.is_flushed() && told
     }
 
     /// Carries out what the core wants done, writes it out and waits anew.
     fn settle(&mut self, now: Micros) {
         self.carry_out(now);
-        self.net.settle(now);
-        self.workers.written(&mut self.net, &mut self.core);
+        self.hub.net.settle(now);
+        let Hub {
+            net, core, workers, ..
+        } = &mut self.hub;
+        workers.written(net, core);
     }
 
     fn carry_out(&mut self, now: Micros) {
+        // First, so that the other process knows of a job that is handed on before any worker does.
+        self.tell_partners(now);
         self.commands(now);
-        if let Some(front) = &mut self.submissions {
-            front.admitted(&mut self.net);
+        for party in &mut self.parties {
+            party.settled(now, &mut self.hub);
+        }
+        self.tell_partners(now);
+    }
+
+    /// Carries the parties' words to the other processes, as far as those read.
+    fn tell_partners(&mut self, now: Micros) {
+        for side in Side::BOTH {
+            for at in 0..self.parties.len() {
+                while self.handover.has_room(side, &mut self.hub.net) {
+                    let party = &mut self.parties[at];
+                    let Some(word) = party.next_word(side) else {
+                        break;
+                    };
+                    let word = Word::Party(party.name().to_owned(), word);
+                    if !self.handover.tell_to(side, &word, &mut self.hub.net) {
+                        self.parties
+                            .iter_mut()
+                            .for_each(|party| party.lost(now, side));
+                    }
+                }
+            }
         }
     }
 
     fn commands(&mut self, now: Micros) {
-        let (net, core) = (&mut self.net, &mut self.core);
         loop {
-            for worker in std::mem::take(&mut self.directory.stale) {
-                self.workers.forget(worker, net);
+            let Hub {
+                net,
+                core,
+                workers,
+                directory,
+            } = &mut self.hub;
+            for worker in std::mem::take(&mut directory.stale) {
+                workers.forget(worker, net);
             }
             let Some(command) = core.command() else {
                 return;
             };
             match command {
                 Command::Call(call) => {
-                    let place = self.directory.place(call.worker);
-                    self.workers.call(now, &call, place, net, core);
+                    let place = directory.place(call.worker);
+                    workers.call(now, &call, place, net, core);
                 }
-                Command::GiveUp { id, attempt } => self.workers.give_up(id, attempt, net),
+                Command::GiveUp { id, attempt } => workers.give_up(id, attempt, net),
                 Command::Probe(worker) => {
-                    let place = self.directory.place(worker);
-                    self.workers.probe(now, worker, place, net, core);
+                    let place = directory.place(worker);
+                    workers.probe(now, worker, place, net, core);
                 }
-                Command::Watch => self.directory.watch(now, net, core),
+                Command::Watch => directory.watch(now, net, core),
                 Command::Answer { id, verdict, sent } => {
-                    let answered = self.consumers.answer(now, id, &verdict, net, core);
-                    if let Some(front) = self.submissions.as_mut().filter(|_| !answered) {
-                        front.answer(now, id, verdict, sent, net);
+                    if !self.consumers.answer(now, id, &verdict, net, core) {
+                        let mut parties = self.parties.iter_mut();
+                        parties.any(|party| party.answer(now, id, &verdict, sent));
                     }
                 }
-                Command::Running(id) => {
-                    if let Some(front) = &mut self.submissions {
-                        front.running(now, id, net);
+                Command::Running(id, worker) => {
+                    for party in &mut self.parties {
+                        party.running(now, id, worker, &self.hub);
                     }
                 }
+                Command::Requeued(id) => {
+                    self.parties
+                        .iter_mut()
+                        .for_each(|party| party.requeued(now, id));
+                }
             }
         }
     }
--- /dev/null
+++ b/node/src/submission/desk.rs
@@ -0,0 +1,118 @@
+//! The core and the workers as the submission server sees them.
+
+use crate::core::{Malformed, Order as CoreOrder, Work};
+use crate::party::Hub;
+use marbledeck::{Effect, Micros, RequestId};
+use marbledeck_submission::message::{Machine, Problem, Queue};
+use marbledeck_submission::{ClassFacts, Desk, Order};
+
+/// Lends the node's parts to the server for one step.
+pub struct NodeDesk<'a>(pub &'a mut Hub);
+
+fn refused(why: Malformed) -> Problem {
+    match why {
+        Malformed::TooMany => Problem::later(why.to_string(), 1000),
+        _ => Problem::invalid(why.to_string()),
+    }
+}
+
+impl Desk for NodeDesk<'_> {
+    fn class(&self, name: &str) -> Option<ClassFacts> {
+        let (_, class) = self.0.core.catalogue().class(name)?;
+        let window = match class.effect {
+            Effect::Keyed(_, window) => window,
+            _ => Micros(0),
+        };
+        Some(ClassFacts {
+            deadline: class.deadline,
+            window,
+            reruns: class.effect != Effect::Unsafe,
+        })
+    }
+
+    fn check(&self, class: &str, tenant: Option<&str>, keyed: bool) -> Result<(), Problem> {
+        let checked = self.0.core.catalogue().check(class, tenant, keyed);
+        checked.map(drop).map_err(refused)
+    }
+
+    fn take_in(&mut self, now: Micros, order: Order) -> Result<RequestId, Problem> {
+        let work = Work {
+            txn: order.txn,
+            key: order.key,
+            method: "POST".to_owned(),
+            target: order.target,
+            body: order.body,
+        };
+        let order = CoreOrder {
+            class: order.class,
+            tenant: order.tenant,
+            time_left: order.time_left,
+            cost_hint: None,
+            slots: order.slots,
+            memory: 0.0,
+            work,
+        };
+        self.0.core.take_in(now, order).map_err(refused)
+    }
+
+    fn recall(&mut self, now: Micros, id: RequestId) -> bool {
+        self.0.core.recall(now, id)
+    }
+
+    fn gone(&mut self, now: Micros, id: RequestId) -> Option<Micros> {
+        self.0.core.gone(now, id)
+    }
+
+    fn count_duplicate(&mut self) {
+        self.0.core.count_duplicate();
+    }
+
+    fn queues(&self) -> Vec<Queue> {
+        let catalogue = self.0.core.catalogue();
+        let queue = |name: &str| {
+            let (_, class) = catalogue.class(name)?;
+            let window = match class.effect {
+                Effect::Keyed(_, window) => Some(window),
+                _ => None,
+            };
+            Some(Queue {
+                name: name.to_owned(),
+                deadline_ms: class.deadline.0 / 1000,
+                dedup_window_ms: window.map_or(0, |window| window.0 / 1000),
+                keyed: window.is_some(),
+            })
+        };
+        catalogue.names().filter_map(queue).collect()
+    }
+
+    fn machines(&self, now: Micros) -> Vec<Machine> {
+        let Hub {
+            core,
+            workers,
+            directory,
+            ..
+        } = &*self.0;
+        let out = workers.out();
+        let machine = |(worker, member, by_hand): (_, &crate::directory::Member, bool)| {
+            let told = workers.told(worker);
+            let resting = core.rests(now, worker);
+            let state = match (by_hand, member.phase.as_str(), resting) {
+                (true, ..) => "out",
+                (_, "up", true) => "resting",
+                (_, phase, _) => phase,
+            };
+            Machine {
+                name: member.id.clone(),
+                available: state == "up",
+                state: state.to_owned(),
+                zone: member.locality.clone(),
+                kind: member.flavor.clone(),
+                address: member.host_port.clone(),
+                calls: out.get(&worker).copied().unwrap_or_default(),
+                free_slots: told.and_then(|(_, report)| report.free_slots),
+                report_age_ms: told.map(|(at, _)| (now - at).0 / 1000),
+            }
+        };
+        directory.members().into_iter().map(machine).collect()
+    }
+}
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -2,19 +2,18 @@
 
 pub mod outcomes;
 mod report;
-
-pub use report::from_value as report_from_value;
+mod submitted;
 
 use crate::clock::millis;
 use crate::core::{Core, InvokerCall};
 use crate::directory::Place;
 use crate::net::conn::Connection;
 use crate::net::{Net, Peer, Token};
-use crate::submission::calls::{self, Submitted};
-use marbledeck::{Micros, Outcome, RequestId, WorkerId};
+use marbledeck::{Micros, Outcome, Report, RequestId, WorkerId};
 use marbledeck_facts::Reads;
 use outcomes::{Answer, End, News};
 use std::collections::{BTreeSet, HashMap, HashSet};
+use submitted::Submitted;
 
 /// A worker that has not answered a probe by then is not well.
 const PROBE: Micros = millis(500);
@@ -121,6 +120,8 @@
     due: BTreeSet<(Micros, Token)>,
     /// No connection is kept until then.
     distrust: Micros,
+    /// What each worker told last of its load.
+    told: HashMap<WorkerId, (Micros, Report)>,
 }
 
 impl Workers {
@@ -133,7 +134,26 @@
             idle: HashMap::new(),
             due: BTreeSet::new(),
             distrust: Micros(0),
+            told: HashMap::new(),
+        }
+    }
+
+    /// What a worker told last of its load, and when.
+    pub fn told(&self, worker: WorkerId) -> Option<(Micros, Report)> {
+        self.told.get(&worker).copied()
+    }
+
+    /// How many calls are out to each worker.
+    pub fn out(&self) -> HashMap<WorkerId, usize> {
+        let mut out = HashMap::new();
+        for link in self
+            .calls
+            .values()
+            .filter_map(|token| self.links.get(token))
+        {
+            *out.entry(link.worker).or_default() += 1;
         }
+        out
     }
 
     /// How many connections may be held from now on; what is idle beyond that is closed.
@@ -169,7 +189,7 @@
             let (bytes, speech) = if self.figures.by_submission.contains(&call.worker) {
                 let submitted = Submitted::new(&work.txn, self.figures.reads);
                 (
-                    calls::request(work, remaining),
+                    submitted::request(work, remaining),
                     Speech::Submission(submitted),
                 )
             } else {
@@ -341,6 +361,7 @@
 
     /// The worker is gone, has moved or was started anew: its idle connections are of no use.
     pub fn forget(&mut self, worker: WorkerId, net: &mut Net) {
+        self.told.remove(&worker);
         for token in self.idle.remove(&worker).unwrap_or_default() {
             self.drop_link(token, net);
         }
@@ -439,6 +460,9 @@
     }
 
     fn end(&mut self, now: Micros, worker: WorkerId, errand: Errand, end: End, core: &mut Core) {
+        if let Some(report) = end.report {
+            self.told.insert(worker, (now, report));
+        }
         match errand {
             Errand::Call(id, attempt) => {
                 self.calls.remove(&(id, attempt));
--- a/node/src/submission/calls.rs
+++ b/node/src/workers/submitted.rs
@@ -1,14 +1,14 @@
 //! Invoker calls by submission: this node is the submitter, and a worker runs the job. `docs/submission.md` has
 //! the protocol, and the outcomes are those of the platform's.
 
-use super::frame;
+use super::outcomes::{End, News};
+use super::report;
 use crate::core::Work;
 use crate::net::conn::Connection;
-use crate::workers::outcomes::{End, News};
-use crate::workers::report_from_value;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use marbledeck::{Micros, Outcome};
 use marbledeck_facts::Reads;
+use marbledeck_submission::frame;
 use serde_json::{json, Value};
 
 /// The longest line of a worker: a result with its escapes.
@@ -55,10 +55,18 @@
     pub fn read(&mut self, conn: &mut Connection) -> News {
         let mut news = News::default();
         while !self.ended {
-            let end = match frame::next(&mut conn.input, MAX_LINE) {
+            let full = conn.input.is_full();
+            let held = conn.input.all();
+            let end = match frame::next(held, MAX_LINE, full) {
                 Ok(None) => break,
-                Ok(Some(line)) if line.trim_ascii().is_empty() => None,
-                Ok(Some(line)) => self.line(&line, &mut news),
+                Ok(Some(length)) => {
+                    let end = match held[..length].trim_ascii() {
+                        [] => None,
+                        line => self.line(line, &mut news),
+                    };
+                    conn.input.consume(length + 1);
+                    end
+                }
                 Err(frame::TooLong) => Some(End::of(Outcome::Error, None)),
             };
             if end.is_some() {
@@ -78,7 +86,7 @@
         };
         let text = |name: &str| value.get(name).and_then(Value::as_str);
         let load = value.get("load");
-        let load = load.and_then(|load| report_from_value(self.reads, load));
+        let load = load.and_then(|load| report::from_value(self.reads, load));
         if text("seq") == Some(&self.seq) {
             // Not taken: tried later or denied, it has never run.
             match text("error") {
@@ -96,13 +104,19 @@
                 news.started = true;
                 None
             }
-            ("DONE", _) => Some(match text("result") {
-                Some(result) => End {
-                    result: Some(result.as_bytes().to_vec()),
-                    ..End::of(Outcome::Ok, load)
-                },
-                None => End::of(Outcome::Error, load),
-            }),
+            ("DONE", _) => {
+                let coded = text("resultBase64").and_then(|t| BASE64_STANDARD.decode(t).ok());
+                let result = text("result").map(|t| t.as_bytes().to_vec()).or(coded);
+                let outcome = if result.is_some() {
+                    Outcome::Ok
+                } else {
+                    Outcome::Error
+                };
+                Some(End {
+                    result,
+                    ..End::of(outcome, load)
+                })
+            }
             ("REQUEUED", _) | ("FAILED", Some("returned")) => Some(End::of(Outcome::Full, load)),
             ("FAILED", Some("lost")) => Some(End::of(Outcome::Reset, load)),
             ("FAILED", _) => Some(End::of(Outcome::Error, load)),
--- /dev/null
+++ b/submission/tests/cases.rs
@@ -0,0 +1,632 @@
+//! The hard cases, one by one, in virtual time.
+
+mod common;
+
+use common::{limits, Bench};
+use marbledeck::Micros;
+use marbledeck_submission::{Limits, Side, Verdict};
+use serde_json::{json, Value};
+
+fn served() -> Verdict {
+    Verdict::Served(b"made".to_vec())
+}
+
+fn secs(s: u64) -> Micros {
+    Micros(s * 1_000_000)
+}
+
+fn words(value: &Value, name: &str) -> String {
+    value[name].as_str().unwrap_or("").to_owned()
+}
+
+/// Terminate and done, in both orders: the first to come ends the job.
+#[test]
+fn terminate_against_done() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    let first = b.run(1, json!({}))["jobId"].clone();
+    let second = b.run(1, json!({}))["jobId"].clone();
+    let (one, two) = (b.order(&first), b.order(&second));
+    b.send(one, true);
+    b.send(two, true);
+    b.answer(one, served());
+    let late = b.ask(1, json!({"op": "terminate", "jobId": first}));
+    assert_eq!(words(&late, "error"), "INVALID_STATE");
+    assert_eq!(b.state(1, &first), "DONE");
+    let done = b.ask(1, json!({"op": "terminate", "jobId": second}));
+    assert_eq!(words(&done, "jobState"), "FAILED");
+    assert!(b.desk.open.is_empty());
+    assert!(!b.server.answer(b.now, two, served(), None));
+    assert_eq!(b.state(1, &second), "FAILED");
+}
+
+/// Hold and send, in both orders.
+#[test]
+fn hold_against_send() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    let held = b.run(1, json!({}))["jobId"].clone();
+    let answer = b.ask(1, json!({"op": "hold", "jobId": held}));
+    assert_eq!(words(&answer, "jobState"), "QUEUED_HELD");
+    assert!(b.desk.open.is_empty(), "the decisions no longer have it");
+    let sent = b.run(1, json!({}))["jobId"].clone();
+    let order = b.order(&sent);
+    b.send(order, false);
+    let answer = b.ask(1, json!({"op": "hold", "jobId": sent}));
+    assert_eq!(words(&answer, "error"), "INVALID_STATE");
+    assert_eq!(b.state(1, &sent), "QUEUED");
+    let answer = b.ask(1, json!({"op": "release", "jobId": held}));
+    assert_eq!(words(&answer, "jobState"), "QUEUED");
+    let order = b.order(&held);
+    b.answer(order, served());
+    assert_eq!(b.state(1, &held), "DONE");
+}
+
+/// Release and the end of the longest hold, in both orders.
+#[test]
+fn release_against_expiry() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    let early = b.run(1, json!({"submitAsHold": true}))["jobId"].clone();
+    let late = b.run(1, json!({"submitAsHold": true}))["jobId"].clone();
+    b.pass(secs(99));
+    b.ask(1, json!({"op": "release", "jobId": early}));
+    b.pass(secs(2));
+    let answer = b.ask(1, json!({"op": "release", "jobId": late}));
+    assert_eq!(words(&answer, "error"), "INVALID_STATE");
+    let info = b.ask(1, json!({"op": "getJobInfo", "jobId": late}));
+    assert_eq!(words(&info["jobInfo"], "jobSubState"), "expired");
+    assert_eq!(b.state(1, &early), "QUEUED");
+    assert_eq!(b.desk.open.len(), 1);
+}
+
+/// A start time holds a job until then, and a deadline that passes meanwhile ends it.
+#[test]
+fn start_and_deadline_times() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    let ms = b.now.0 / 1000;
+    let job = b.run(1, json!({"startTime": ms + 5000}));
+    assert_eq!(words(&job, "jobState"), "QUEUED_HELD");
+    let never = b.run(1, json!({"submitAsHold": true, "deadlineTime": ms + 7000}))["jobId"].clone();
+    let wrong = b.run(
+        1,
+        json!({"startTime": ms + 9000, "deadlineTime": ms + 7000}),
+    );
+    assert_eq!(words(&wrong, "error"), "INVALID_ARGUMENT");
+    b.pass(secs(4));
+    assert!(b.desk.open.is_empty());
+    b.pass(secs(1));
+    assert_eq!(b.desk.open.len(), 1);
+    b.pass(secs(2));
+    let info = b.ask(1, json!({"op": "getJobInfo", "jobId": never}));
+    assert_eq!(words(&info["jobInfo"], "error"), "TIMEOUT");
+    assert_eq!(words(&info["jobInfo"], "jobSubState"), "overdue");
+}
+
+/// A resubmission after a lost reply joins, also when the job was reaped, for as long as workers drop repeats.
+#[test]
+fn keys_outlive_reaping() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    let sheet = json!({"jobCategory": "sheet", "submissionKey": "k"});
+    let job = b.run(1, sheet.clone())["jobId"].clone();
+    let order = b.order(&job);
+    b.send(order, true);
+    let early = b.ask(1, json!({"op": "reap", "jobId": job}));
+    assert_eq!(words(&early, "error"), "INVALID_STATE");
+    b.answer(order, served());
+    let reaped = b.ask(1, json!({"op": "reap", "jobId": job}));
+    assert_eq!(words(&reaped, "jobState"), "DONE");
+    let again = b.ask(1, json!({"op": "getJobInfo", "jobId": job}));
+    assert_eq!(words(&again, "error"), "INVALID_ARGUMENT");
+    let joined = b.run(1, sheet.clone());
+    assert_eq!(
+        (&joined["jobId"], &joined["duplicate"]),
+        (&job, &json!(true))
+    );
+    let other = b.run(
+        1,
+        json!({"jobCategory": "sheet", "submissionKey": "k", "remoteCommand": "/y"}),
+    );
+    assert_eq!(words(&other, "error"), "INVALID_ARGUMENT");
+    b.pass(secs(41));
+    assert_eq!(b.run(1, sheet)["duplicate"], json!(false));
+    assert_eq!(b.desk.taken, 2);
+}
+
+/// `maxParallel` holds at every instant, whatever becomes of the members; a refused one makes the others rest.
+#[test]
+fn an_array_at_its_bound() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    let bulk = json!({"op": "runBulkJobs", "beginIndex": 1, "endIndex": 200, "maxParallel": 3,
+        "template": {"remoteCommand": "/${PARAMETRIC_INDEX}", "jobCategory": "preview"}});
+    let answer = b.ask(1, bulk);
+    assert_eq!(answer["jobs"].as_array().unwrap().len(), 200);
+    b.pass(secs(0));
+    let array = answer["jobArrayId"].clone();
+    for round in 0..40 {
+        assert_eq!(b.desk.open.len(), 3, "round {round}");
+        let id = *b.desk.open.keys().next().unwrap();
+        b.send(id, round % 2 == 0);
+        match round % 4 {
+            0 => b.answer(id, served()),
+            1 => b.answer(id, Verdict::Failed),
+            2 => {
+                b.requeue(id);
+                b.answer(id, served());
+            }
+            _ => {
+                b.answer(id, Verdict::Rejected(Some(secs(2))));
+                assert_eq!(
+                    b.desk.open.len(),
+                    2,
+                    "no other is handed on into the refusal"
+                );
+                b.pass(secs(1));
+                assert_eq!(b.desk.open.len(), 2);
+                b.pass(secs(1));
+            }
+        }
+        b.pass(secs(0));
+    }
+    let info = b.ask(1, json!({"op": "getJobArray", "jobArrayId": array}));
+    assert_eq!(info["jobArray"]["ended"], 40);
+    assert_eq!(info["jobArray"]["active"], 3);
+    // All is ended, and none is started by that.
+    let taken = b.desk.taken;
+    let all = b.ask(1, json!({"op": "terminate", "jobArrayId": array}));
+    assert_eq!(
+        (&all["changed"], &all["refused"]),
+        (&json!(160), &json!(40))
+    );
+    b.pass(secs(3));
+    assert_eq!((b.desk.open.len(), b.desk.taken), (0, taken));
+}
+
+/// The core cannot take one more just now: the member keeps its place.
+#[test]
+fn an_array_against_a_full_core() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    b.desk.full = true;
+    let bulk = json!({"op": "runBulkJobs", "beginIndex": 1, "endIndex": 3, "maxParallel": 2,
+        "template": {"remoteCommand": "/x", "jobCategory": "preview"}});
+    b.ask(1, bulk);
+    b.pass(secs(3));
+    assert!(b.desk.open.is_empty());
+    b.desk.full = false;
+    b.pass(secs(1));
+    assert_eq!(b.desk.open.len(), 2);
+}
+
+/// A bulk into the limits: each index is answered, part of them taken.
+#[test]
+fn limits_in_the_middle_of_a_bulk() {
+    let mut b = Bench::new(Limits {
+        max_jobs: 100,
+        ..limits()
+    });
+    b.connect(1);
+    let bulk = json!({"op": "runBulkJobs", "beginIndex": 1, "endIndex": 300, "seq": 7,
+        "template": {"remoteCommand": "/x", "jobCategory": "preview"}});
+    b.say(1, bulk);
+    for _ in 0..10 {
+        b.turn();
+    }
+    let lines = b.take(1);
+    assert_eq!(lines.len(), 2, "256 jobs a line");
+    assert_eq!(
+        (&lines[0]["more"], &lines[1]["more"]),
+        (&json!(true), &Value::Null)
+    );
+    let of = |line: &Value| line["jobs"].as_array().unwrap().clone();
+    let jobs = [of(&lines[0]), of(&lines[1])].concat();
+    let indices: Vec<i64> = jobs.iter().map(|j| j["index"].as_i64().unwrap()).collect();
+    assert_eq!(indices, (1..=300).collect::<Vec<i64>>());
+    let taken = jobs.iter().filter(|j| j["jobId"].is_string()).count();
+    let later = jobs
+        .iter()
+        .filter(|j| words(j, "error") == "TRY_LATER")
+        .count();
+    assert_eq!((taken, later), (100, 200));
+}
+
+/// A submitter that dies in the middle of a bulk: what was taken goes on, the rest is not taken, and coming back with
+/// the same keys runs nothing twice.
+#[test]
+fn a_submitter_dies_in_a_bulk() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    let bulk = json!({"op": "runBulkJobs", "beginIndex": 1, "endIndex": 400, "seq": 7,
+        "template": {"remoteCommand": "/x", "jobCategory": "sheet", "submissionKey": "k-${PARAMETRIC_INDEX}"}});
+    b.say(1, bulk.clone());
+    let before = b.desk.open.len();
+    assert!((64..400).contains(&before));
+    b.server.disconnect(b.now, 1);
+    b.pass(secs(1));
+    assert_eq!(b.desk.open.len(), before);
+    b.connect(2);
+    b.say(2, bulk);
+    for _ in 0..10 {
+        b.turn();
+    }
+    assert_eq!(b.desk.taken, 400);
+    assert_eq!(b.desk.duplicates as usize, before);
+}
+
+/// A reader that does not read costs a cursor, hears of a gap, and misses nothing else.
+#[test]
+fn a_reader_that_lags() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    b.connect(2);
+    b.ask(1, json!({"op": "createSession", "name": "s"}));
+    b.ask(2, json!({"op": "openSession", "name": "s"}));
+    b.take(1);
+    for n in 0..100 {
+        // Only the second one reads.
+        let line = json!({"op": "runJob", "seq": n, "session": "s",
+            "template": {"remoteCommand": "/x", "jobCategory": "preview"}});
+        let bytes = serde_json::to_vec(&line).unwrap();
+        b.server.line(b.now, 2, &bytes, &mut b.desk);
+        b.server.admitted(b.now);
+        b.read_all(2);
+    }
+    let events = |lines: Vec<Value>| -> Vec<Value> {
+        lines
+            .into_iter()
+            .filter(|v| v["event"].is_string())
+            .collect()
+    };
+    let second = events(b.take(2));
+    assert_eq!(second.len(), 100);
+    assert!(second.iter().enumerate().all(|(i, v)| v["number"] == i + 1));
+    b.read_all(1);
+    let first = events(b.take(1));
+    assert_eq!(
+        (&first[0]["event"], &first[0]["from"]),
+        (&json!("GAP"), &json!(1))
+    );
+    let to = first[0]["to"].as_u64().unwrap();
+    assert_eq!((to, first.len()), (36, 65));
+    assert_eq!(first[1]["number"], to + 1);
+    // Come back, it names what it has seen.
+    b.server.disconnect(b.now, 1);
+    b.connect(3);
+    let line = b.ask(3, json!({"op": "openSession", "name": "s", "since": 98}));
+    assert_eq!(line["lastEvent"], 100);
+    assert_eq!(events(b.take(3)).len(), 2);
+    let ahead = b.ask(3, json!({"op": "openSession", "name": "s", "since": 101}));
+    assert_eq!(words(&ahead, "error"), "INVALID_ARGUMENT");
+}
+
+/// 64 submitters with 1,024 waits each come back at once, and all waits are answered by one end.
+#[test]
+fn a_mass_of_waits() {
+    let mut b = Bench::new(limits());
+    b.connect(0);
+    let job = b.run(0, json!({}))["jobId"].clone();
+    for peer in 1..=64 {
+        b.connect(peer);
+        for seq in 0..1024 {
+            let line = json!({"op": "waitTerminated", "seq": seq, "jobId": job});
+            let bytes = serde_json::to_vec(&line).unwrap();
+            b.server.line(b.now, peer, &bytes, &mut b.desk);
+        }
+        let more = b.ask(peer, json!({"op": "waitTerminated", "jobId": job}));
+        assert_eq!(words(&more, "error"), "TRY_LATER");
+    }
+    assert_eq!(b.server.holds().waits, 64 * 1024);
+    b.server.disconnect(b.now, 64);
+    assert_eq!(b.server.holds().waits, 63 * 1024);
+    let order = b.order(&job);
+    b.answer(order, served());
+    assert_eq!(b.server.holds().waits, 0);
+    for peer in 1..64 {
+        let told = b.take(peer);
+        let seqs: Vec<u64> = told.iter().filter_map(|v| v["seq"].as_u64()).collect();
+        assert_eq!(seqs, (0..1024).collect::<Vec<u64>>());
+    }
+}
+
+/// Waits for any: of a list, an array, a session; at once where one is met, with a time-out, and at a session's end.
+#[test]
+fn waits_for_any() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    b.ask(1, json!({"op": "createSession", "name": "s"}));
+    let jobs: Vec<Value> = (0..3)
+        .map(|_| b.run(1, json!({"session": "s"}))["jobId"].clone())
+        .collect();
+    b.take(1);
+    b.say(
+        1,
+        json!({"op": "waitAnyStarted", "seq": "a", "jobIds": jobs}),
+    );
+    b.say(
+        1,
+        json!({"op": "waitAnyTerminated", "seq": "b", "session": "s", "timeoutMs": 60_000}),
+    );
+    b.say(
+        1,
+        json!({"op": "waitAnyTerminated", "seq": "c", "jobIds": [jobs[0]], "timeoutMs": 1000}),
+    );
+    let one = b.order(&jobs[1]);
+    b.send(one, true);
+    let told = |b: &mut Bench, seq: &str| b.take(1).into_iter().find(|v| v["seq"] == seq);
+    let first = told(&mut b, "a").expect("it runs");
+    assert_eq!(first["jobInfo"]["jobId"], jobs[1]);
+    assert_eq!(first["jobInfo"]["machine"], "w1");
+    b.pass(secs(1));
+    assert_eq!(words(&told(&mut b, "c").unwrap(), "error"), "TIMEOUT");
+    b.answer(one, served());
+    assert_eq!(told(&mut b, "b").unwrap()["jobInfo"]["result"], "made");
+    let at_once = b.ask(1, json!({"op": "waitAnyTerminated", "session": "s"}));
+    assert_eq!(at_once["jobInfo"]["jobId"], jobs[1]);
+    b.ask(1, json!({"op": "reap", "jobId": jobs[1]}));
+    b.say(
+        1,
+        json!({"op": "waitAnyTerminated", "seq": "d", "session": "s"}),
+    );
+    b.ask(1, json!({"op": "destroySession", "name": "s"}));
+    assert_eq!(
+        words(&told(&mut b, "d").unwrap(), "error"),
+        "INVALID_SESSION"
+    );
+    assert_eq!(b.state(1, &jobs[0]), "QUEUED");
+}
+
+/// Lists are paged, filtered, and never look at more than a bounded number of jobs.
+#[test]
+fn lists_in_pages() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    let bulk = json!({"op": "runBulkJobs", "beginIndex": 1, "endIndex": 250, "maxParallel": 1,
+        "template": {"remoteCommand": "/x", "jobCategory": "preview", "jobName": "j${PARAMETRIC_INDEX}"}});
+    let array = b.ask(1, bulk)["jobArrayId"].clone();
+    let other = b.run(1, json!({"jobName": "lone", "accountingId": "au"}))["jobId"].clone();
+    let (mut seen, mut after) = (0, Value::Null);
+    loop {
+        let page = b.ask(
+            1,
+            json!({"op": "listJobs", "filter": {"jobArrayId": array}, "limit": 99, "after": after}),
+        );
+        seen += page["jobs"].as_array().unwrap().len();
+        after = page["next"].clone();
+        if after.is_null() {
+            break;
+        }
+    }
+    assert_eq!(seen, 250);
+    let named = b.ask(
+        1,
+        json!({"op": "listJobs", "filter": {"jobName": "lone", "accountingId": "au"}}),
+    );
+    assert_eq!(named["jobs"][0]["jobId"], other);
+    let none = b.ask(
+        1,
+        json!({"op": "listJobs", "filter": {"jobStates": ["DONE"]}}),
+    );
+    assert_eq!(none["jobs"], json!([]));
+    let wrong = b.ask(1, json!({"op": "listJobs", "filter": {"jobNmae": "x"}}));
+    assert!(words(&wrong, "message").contains("jobNmae"), "{wrong}");
+}
+
+/// What is not supported is refused by name, and announced.
+#[test]
+fn what_is_not_there() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    let caps = b.ask(1, json!({"op": "getCapabilities"}));
+    assert_eq!(caps["capabilities"]["SUSPEND"], false);
+    for name in caps["unsupportedAttributes"].as_array().unwrap() {
+        let answer = b.run(1, json!({name.as_str().unwrap(): "set"}));
+        assert_eq!(words(&answer, "error"), "UNSUPPORTED_ATTRIBUTE");
+        assert!(words(&answer, "message").contains(name.as_str().unwrap()));
+        let unset = b.run(1, json!({name.as_str().unwrap(): null}));
+        assert!(unset["jobId"].is_string(), "{unset}");
+    }
+    let rerun = b.run(1, json!({"rerunnable": false}));
+    assert_eq!(words(&rerun, "error"), "UNSUPPORTED_ATTRIBUTE");
+    let job = b.run(1, json!({"rerunnable": true}))["jobId"].clone();
+    let waits = b.ask(1, json!({"op": "suspend", "jobId": job}));
+    assert_eq!(words(&waits, "error"), "INVALID_STATE");
+    let order = b.order(&job);
+    b.send(order, true);
+    let runs = b.ask(1, json!({"op": "suspend", "jobId": job}));
+    assert_eq!(words(&runs, "error"), "UNSUPPORTED_OPERATION");
+    let none = b.ask(1, json!({"op": "resume", "jobId": job}));
+    assert_eq!(words(&none, "error"), "INVALID_STATE");
+    let reservations = b.ask(1, json!({"op": "getAllReservations"}));
+    assert_eq!(words(&reservations, "error"), "UNSUPPORTED_OPERATION");
+}
+
+/// Carries what is to be told from one process to the other, as far as `most` messages go.
+fn carry(old: &mut Bench, new: &mut Bench, most: usize) -> usize {
+    let mut carried = 0;
+    loop {
+        let before = carried;
+        while carried < most {
+            let Some(told) = old.server.pull_transfer(Side::Heir) else {
+                break;
+            };
+            let told = serde_json::from_value(serde_json::to_value(told).unwrap()).unwrap();
+            new.server
+                .take_transfer(new.now, Side::Elder, told, &mut new.desk);
+            carried += 1;
+        }
+        while carried < most {
+            let Some(told) = new.server.pull_transfer(Side::Elder) else {
+                break;
+            };
+            let told = serde_json::from_value(serde_json::to_value(told).unwrap()).unwrap();
+            old.server
+                .take_transfer(old.now, Side::Heir, told, &mut old.desk);
+            carried += 1;
+        }
+        if carried == before {
+            return carried;
+        }
+    }
+}
+
+/// An upgrade that is cut after any number of messages, by the loss of either process: each job ends once, no key is
+/// handed on twice, and the survivor has all that was acknowledged.
+#[test]
+fn an_upgrade_cut_anywhere() {
+    for most in 0..40 {
+        for old_dies in [false, true] {
+            let mut old = Bench::named(limits(), "n0-1");
+            old.connect(1);
+            old.ask(1, json!({"op": "createSession", "name": "s"}));
+            let sheet =
+                |key: &str| json!({"jobCategory": "sheet", "submissionKey": key, "session": "s"});
+            let out = old.run(1, sheet("out"))["jobId"].clone();
+            let order = old.order(&out);
+            old.send(order, true);
+            let done = old.run(1, sheet("done"))["jobId"].clone();
+            let finished = old.order(&done);
+            old.send(finished, true);
+            old.answer(finished, served());
+            let mut held = sheet("held");
+            held["submitAsHold"] = true.into();
+            let held_job = old.run(1, held.clone())["jobId"].clone();
+            let bulk = json!({"op": "runBulkJobs", "beginIndex": 1, "endIndex": 8, "maxParallel": 2, "session": "s",
+                "template": {"remoteCommand": "/x", "jobCategory": "sheet", "submissionKey": "b${PARAMETRIC_INDEX}"}});
+            let array = old.ask(1, bulk.clone())["jobArrayId"].clone();
+            old.pass(secs(0));
+            assert_eq!(old.desk.open.len(), 3);
+            let mut new = Bench::named(limits(), "n0-2");
+            new.now = old.now;
+            new.server.expect_transfer(new.now);
+            old.server.begin_transfer();
+            old.server.disconnect(old.now, 1);
+            let carried = carry(&mut old, &mut new, most);
+            let whole = carried < most;
+            let mut survivor = if old_dies {
+                new.server.partner_lost(new.now, Side::Elder);
+                new
+            } else {
+                old.server.partner_lost(old.now, Side::Heir);
+                old
+            };
+            survivor.connect(5);
+            survivor.turn();
+            if old_dies && !whole {
+                // What had not been told is lost with the process, as at any crash; what was told is consistent.
+                survivor.pass(secs(200));
+                continue;
+            }
+            let case = format!("{most} messages, old dies: {old_dies}");
+            let joined = survivor.run(5, sheet("done"));
+            assert_eq!(
+                (&joined["jobId"], &joined["duplicate"]),
+                (&done, &json!(true)),
+                "{case}"
+            );
+            assert_eq!(survivor.state(5, &done), "DONE", "{case}");
+            let joined = survivor.run(5, held.clone());
+            assert_eq!(joined["jobId"], held_job, "{case}");
+            assert_eq!(
+                survivor.state(5, &out),
+                if old_dies { "FAILED" } else { "RUNNING" },
+                "{case}"
+            );
+            let info = survivor.ask(5, json!({"op": "getJobArray", "jobArrayId": array}));
+            assert_eq!(info["jobArray"]["jobs"], 8, "{case}");
+            survivor.ask(5, json!({"op": "release", "jobId": held_job}));
+            // All that still waits runs, each key once.
+            for _ in 0..40 {
+                survivor.pass(secs(0));
+                for id in survivor.desk.open.keys().copied().collect::<Vec<_>>() {
+                    survivor.send(id, true);
+                    survivor.answer(id, served());
+                }
+            }
+            let page = survivor.ask(5, json!({"op": "listJobs", "session": "s"}));
+            let jobs = page["jobs"].as_array().unwrap();
+            assert_eq!(jobs.len(), 11, "{case}");
+            for job in jobs {
+                assert!(
+                    ["DONE", "FAILED"].contains(&words(job, "jobState").as_str()),
+                    "{case}: {job}"
+                );
+            }
+        }
+    }
+}
+
+/// Over a whole upgrade: what is out ends with the old process and is told by the new one, and the array's bound
+/// holds over both.
+#[test]
+fn an_upgrade() {
+    let mut old = Bench::named(limits(), "n0-1");
+    old.connect(1);
+    old.ask(1, json!({"op": "createSession", "name": "s"}));
+    let bulk = json!({"op": "runBulkJobs", "beginIndex": 1, "endIndex": 5, "maxParallel": 2, "session": "s",
+        "template": {"remoteCommand": "/x", "jobCategory": "preview"}});
+    let answer = old.ask(1, bulk);
+    let first = answer["jobs"][0]["jobId"].clone();
+    old.pass(secs(0));
+    let mut new = Bench::named(limits(), "n0-2");
+    new.now = old.now;
+    new.server.expect_transfer(new.now);
+    new.connect(9);
+    assert!(!new.server.wants_line(9), "not before all is known");
+    old.server.begin_transfer();
+    carry(&mut old, &mut new, usize::MAX);
+    assert!(new.server.wants_line(9) && old.server.is_handed_over());
+    new.pass(secs(1));
+    old.pass(secs(1));
+    assert_eq!((old.desk.open.len(), new.desk.open.len()), (2, 0));
+    new.ask(9, json!({"op": "openSession", "name": "s", "since": 5}));
+    new.say(
+        9,
+        json!({"op": "waitTerminated", "seq": "w", "jobId": first}),
+    );
+    let order = old.order(&first);
+    old.send(order, true);
+    old.answer(order, served());
+    carry(&mut old, &mut new, usize::MAX);
+    new.pass(secs(0));
+    assert_eq!((old.desk.open.len(), new.desk.open.len()), (1, 1));
+    let read = new.take(9);
+    let waited = read
+        .iter()
+        .find(|v| v["seq"] == "w")
+        .expect("told by the new one");
+    assert_eq!(waited["jobInfo"]["result"], "made");
+    let numbers: Vec<u64> = read.iter().filter_map(|v| v["number"].as_u64()).collect();
+    assert!(
+        numbers.windows(2).all(|pair| pair[1] == pair[0] + 1),
+        "{numbers:?}"
+    );
+    // Ended by its submitter there, a job is out here no longer.
+    let second = answer["jobs"][1]["jobId"].clone();
+    let ended = new.ask(9, json!({"op": "terminate", "jobId": second}));
+    assert_eq!(words(&ended, "jobState"), "FAILED");
+    carry(&mut old, &mut new, usize::MAX);
+    assert!(old.desk.open.is_empty());
+    new.pass(secs(0));
+    assert_eq!(new.desk.open.len(), 2);
+}
+
+/// A process that ends and is not replaced refuses what only waits, with a time to come back.
+#[test]
+fn an_end_without_an_heir() {
+    let mut b = Bench::new(limits());
+    b.connect(1);
+    let held = b.run(1, json!({"submitAsHold": true}))["jobId"].clone();
+    let out = b.run(1, json!({}))["jobId"].clone();
+    b.server.end();
+    let more = b.run(1, json!({}));
+    assert_eq!(words(&more, "error"), "TRY_LATER");
+    b.server.refuse_waiting(b.now);
+    b.turn();
+    let info = b.ask(1, json!({"op": "getJobInfo", "jobId": held}))["jobInfo"].clone();
+    assert_eq!(words(&info, "jobSubState"), "refused");
+    assert!(info["retryAfterMs"].is_u64());
+    assert_eq!(b.state(1, &out), "QUEUED");
+}
