--- /dev/null
+++ b/lab/src/node.rs
@@ -0,0 +1,248 @@
+//! A node with its submission front, between the stand-ins.
+
+use crate::{Directory, Worker};
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+/// Far longer than anything takes; only a failure waits for so long.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What a lab is made of.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub workers: usize,
+    /// The free slots that each worker tells of.
+    pub slots: usize,
+    /// Further lines of the submission front's file.
+    pub front: String,
+    pub memory_mb: usize,
+    pub sockets: usize,
+    /// What the token buckets of a tenant bear, in jobs a second.
+    pub quota: f64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            workers: 3,
+            slots: 16,
+            front: String::new(),
+            memory_mb: 192,
+            sockets: 1024,
+            quota: 100_000.0,
+        }
+    }
+}
+
+/// The lab: it ends its node when it is dropped.
+pub struct Lab {
+    pub directory: Directory,
+    pub workers: Vec<Worker>,
+    /// Where submitters, consumers and operators connect.
+    pub submitters: String,
+    pub consumers: String,
+    pub operators: String,
+    folder: PathBuf,
+    options: Options,
+    nodes: Vec<Child>,
+    started: u64,
+}
+
+/// The node's program, as it was built beside the one that asks.
+///
+/// # Panics
+/// It was not built.
+pub fn binary() -> PathBuf {
+    let own = std::env::current_exe().expect("a program has a path");
+    let found = own.ancestors().map(|folder| folder.join("marbledeck"));
+    let found = found.into_iter().find(|path| path.is_file());
+    found.expect("build the node first: cargo build, in the same profile")
+}
+
+impl Lab {
+    /// Starts the stand-ins and a node, and waits until it serves.
+    ///
+    /// # Panics
+    /// The node does not start.
+    pub fn start(options: Options) -> Self {
+        static COUNT: AtomicU64 = AtomicU64::new(0);
+        let number = COUNT.fetch_add(1, Ordering::SeqCst);
+        let name = format!("marbledeck-lab-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).expect("a folder for temporary files");
+        let directory = Directory::start();
+        let worker = |n: usize| Worker::start(&format!("w{n}"), options.slots);
+        let workers: Vec<Worker> = (1..=options.workers).map(worker).collect();
+        for worker in &workers {
+            directory.set(&worker.id, worker.addr, "up");
+        }
+        let mut lab = Lab {
+            directory,
+            workers,
+            submitters: "127.0.0.1:0".to_owned(),
+            consumers: "127.0.0.1:0".to_owned(),
+            operators: String::new(),
+            folder,
+            options,
+            nodes: Vec::new(),
+            started: 0,
+        };
+        lab.spawn();
+        lab
+    }
+
+    fn config(&self) -> String {
+        let (memory, sockets) = (self.options.memory_mb, self.options.sockets);
+        let (quota, started) = (self.options.quota, self.started);
+        format!(
+            r#"{{"name":"n0","seed":"{started:x}7","discovery":"{}",
+            "limits":{{"memory_mb":{memory},"sockets":{sockets}}},
+            "known":{},
+            "settings":{{"balancers":1,"self-index":0,"zone":0,"localities":["east"],"kinds":["std"],
+            "registry-mode":"subscribe","stats":{{"fields":["x0"],"how":"piggyback"}},
+            "family-info":{{"class-kind":[-1,-1],"class-stretch":[2.0,2.5],"report-x0":"free slots",
+            "tells-start":true,"progress-us":1000000}},
+            "bounds":{{"conn-idle-us":5000000,"connect-timeout-us":250000,"max-open":200000,
+            "max-retry-after-us":2000000,"may-cancel":true,"probes":false,"retry-after":true,
+            "second-copies":true,"try-limit":3}},
+            "profiles":[{{"name":"preview","effect":"safe","promise-us":5000000,"deadline-us":7500000}},
+            {{"name":"sheet-publish","effect":"keyed","dedup-scope":"cell","dedup-window-us":40000000,
+            "promise-us":20000000,"deadline-us":25000000}}],
+            "rules":{{"cold-from":0.38,"overload-factor":4.0,"tip-after-us":1500000,"warm-up-us":8400000,
+            "must-ask-in-us":10000000}},
+            "tenants":[{{"name":"au","quota-per-s":{quota},"share":0.5}},
+            {{"name":"sued","quota-per-s":{quota},"share":0.5}}]}}}}"#,
+            self.directory.addr,
+            self.directory.list()
+        )
+    }
+
+    fn spawn(&mut self) {
+        self.started += 1;
+        let config = self.folder.join("config.json");
+        fs::write(&config, self.config()).expect("written");
+        let front = self.folder.join("submission.toml");
+        let text = format!("listen = \"{}\"\n{}\n", self.submitters, self.options.front);
+        fs::write(&front, text).expect("written");
+        let mut command = Command::new(binary());
+        command
+            .env("LB_CONFIG", &config)
+            .env("LB_LISTEN", &self.consumers);
+        command
+            .env("LB_OPS", "127.0.0.1:0")
+            .env("TMPDIR", &self.folder);
+        command.env_remove("LB_NAME").env_remove("LB_DISCOVERY");
+        command
+            .arg("--submission")
+            .arg(&front)
+            .stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the node starts");
+        let stderr = BufReader::new(child.stderr.take().expect("piped"));
+        let (sender, log) = channel();
+        std::thread::spawn(move || {
+            let lines = stderr.lines().map_while(Result::ok);
+            lines.for_each(|line| drop(sender.send(line)));
+        });
+        self.submitters = said(&log, "takes submissions at ");
+        self.operators = said(&log, "answers operators at ");
+        self.consumers = said(&log, "serves at ");
+        self.nodes.push(child);
+    }
+
+    /// Starts another process of the node beside the one that runs, and waits until it serves.
+    pub fn succeed(&mut self) {
+        self.spawn();
+        let until = Instant::now() + PATIENCE;
+        while self.operate("check").as_deref() != Some("ACK serving") {
+            assert!(Instant::now() < until, "the new process does not serve");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Says a line at the operators' address of the node that was started last.
+    pub fn operate(&self, call: &str) -> Option<String> {
+        use std::io::Write;
+        let mut stream = std::net::TcpStream::connect(&self.operators).ok()?;
+        stream.write_all(format!("{call}\n").as_bytes()).ok()?;
+        let mut answer = String::new();
+        BufReader::new(stream).read_line(&mut answer).ok()?;
+        Some(answer.trim_end().to_owned())
+    }
+
+    /// Sends a signal to the process that was started as this one, from 0 on.
+    pub fn signal(&self, which: usize, signal: &str) {
+        let id = self.nodes[which].id().to_string();
+        let sent = Command::new("kill").args([signal, &id]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "kill {signal}");
+    }
+
+    /// Waits for the end of a process; tells whether its status was 0.
+    pub fn ends(&mut self, which: usize) -> bool {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match self.nodes[which].try_wait() {
+                Ok(Some(status)) => return status.success(),
+                _ if Instant::now() > until => return false,
+                _ => std::thread::sleep(Duration::from_millis(5)),
+            }
+        }
+    }
+
+    /// Kills the node that was started last, and starts another at the same addresses.
+    pub fn crash(&mut self) {
+        if let Some(mut child) = self.nodes.pop() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.spawn();
+    }
+
+    /// The most memory that the node that was started last has held, in KiB.
+    pub fn peak_kib(&self) -> Option<u64> {
+        let id = self.nodes.last()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        line.split_ascii_whitespace().nth(1)?.parse().ok()
+    }
+
+    /// The memory that it holds now, in KiB.
+    pub fn held_kib(&self) -> Option<u64> {
+        let id = self.nodes.last()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        line.split_ascii_whitespace().nth(1)?.parse().ok()
+    }
+
+    /// A folder of its own.
+    pub fn folder(&self) -> &std::path::Path {
+        &self.folder
+    }
+}
+
+/// What the node says after these words.
+fn said(log: &Receiver<String>, words: &str) -> String {
+    let until = Instant::now() + PATIENCE;
+    let mut seen = String::new();
+    while let Ok(line) = log.recv_timeout(until.saturating_duration_since(Instant::now())) {
+        if let Some((_, rest)) = line.split_once(words) {
+            return rest.trim().to_owned();
+        }
+        seen += &format!("\n{line}");
+    }
+    panic!("the node does not say '{words}':{seen}");
+}
+
+impl Drop for Lab {
+    fn drop(&mut self) {
+        for child in &mut self.nodes {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
--- a/submission/src/message.rs
+++ b/submission/src/message.rs
@@ -87,7 +87,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(tag = "op", rename_all = "camelCase", rename_all_fields = "camelCase")]
 pub enum Op {
-    /// Hands in a job (GFD.231, section 8.2.1).
+    /// Hands in a job (GFD.231, section 8.2).
     RunJob {
         template: Template,
         #[serde(default)]
@@ -95,7 +95,7 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         session: Option<String>,
     },
-    /// Hands in an array of jobs (section 8.2.2).
+    /// Hands in an array of jobs (section 8.2).
     RunBulkJobs {
         template: Template,
         begin_index: i64,
@@ -110,9 +110,9 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         session: Option<String>,
     },
-    /// Asks after a job (section 8.5).
+    /// Asks after a job (section 8.4).
     GetJobInfo { job_id: String },
-    /// Asks after an array (section 8.6).
+    /// Asks after an array (section 8.5).
     GetJobArray { job_array_id: String },
     /// Waits until a job runs or has ended.
     WaitStarted {
@@ -124,7 +124,7 @@
         job_id: String,
         timeout_ms: Option<u64>,
     },
-    /// Waits until any of these runs or has ended (section 8.3).
+    /// Waits until any of these runs or has ended (section 8.2).
     WaitAnyStarted {
         #[serde(flatten)]
         of: Targets,
@@ -136,7 +136,7 @@
         of: Targets,
         timeout_ms: Option<u64>,
     },
-    /// Ends jobs (sections 8.5 and 8.6; so are the next four).
+    /// Ends jobs (sections 8.4 and 8.5; so are the next four).
     Terminate {
         #[serde(flatten)]
         of: Targets,
@@ -166,7 +166,7 @@
         #[serde(flatten)]
         of: Targets,
     },
-    /// The jobs that a filter names, a page at a time (sections 8.2.4 and 9.1).
+    /// The jobs that a filter names, a page at a time (sections 8.2 and 10.1).
     ListJobs {
         #[serde(default, skip_serializing_if = "Option::is_none")]
         session: Option<String>,
@@ -193,7 +193,7 @@
     DestroySession { name: String },
     /// The names of all sessions.
     ListSessions,
-    /// The queues, which are the classes (section 9.1; so are the next two).
+    /// The queues, which are the classes (section 10.1; so are the next two).
     GetAllQueues {
         #[serde(default, skip_serializing_if = "Option::is_none")]
         names: Option<Vec<String>>,
@@ -215,7 +215,7 @@
     1
 }
 
-/// DRMAA's errors (GFD.231, section 5.3).
+/// DRMAA's errors (GFD.231, section 6).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "SCREAMING_SNAKE_CASE")]
 pub enum ErrorId {
@@ -394,7 +394,7 @@
     pub problem: Option<Problem>,
 }
 
-/// What is told of an array (GFD.231, section 8.6).
+/// What is told of an array (GFD.231, section 8.5).
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "camelCase")]
 pub struct ArrayInfo {
@@ -413,7 +413,7 @@
     pub ended: usize,
 }
 
-/// A queue, which is a class (GFD.231, section 5.6).
+/// A queue, which is a class (GFD.231, section 5.1).
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "camelCase")]
 pub struct Queue {
@@ -426,7 +426,7 @@
     pub keyed: bool,
 }
 
-/// A machine, which is a worker (GFD.231, section 5.7).
+/// A machine, which is a worker (GFD.231, section 5.3).
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq)]
 #[serde(rename_all = "camelCase")]
 pub struct Machine {
@@ -460,7 +460,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 #[serde(tag = "event", rename_all = "SCREAMING_SNAKE_CASE")]
 pub enum Event {
-    /// A job's new state (GFD.231, section 8.7). With `notify` the other fields of [`JobInfo`] come as well.
+    /// A job's new state (GFD.231, section 8.3). With `notify` the other fields of [`JobInfo`] come as well.
     #[serde(rename_all = "camelCase")]
     NewState {
         /// The session that is open; none for `notify` of a job without one.
--- a/submission/src/server.rs
+++ b/submission/src/server.rs
@@ -1860,7 +1860,7 @@
     Ok((invocation, now + time_left))
 }
 
-/// What is supported and what is not, by the names of GFD.231, section 5.2, and the attributes of its templates.
+/// What is supported and what is not, by the names of GFD.231, section 4.5, and the attributes of its templates.
 fn capabilities(limits: &Limits) -> Value {
     json!({
         "capabilities": {
--- a/submission/src/state.rs
+++ b/submission/src/state.rs
@@ -1,4 +1,4 @@
-//! The states of a job and the transitions between them (GFD.231, sections 8.1 and 8.5).
+//! The states of a job and the transitions between them (GFD.231, sections 8.1 and 8.4).
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -49,7 +49,7 @@
         matches!(self, JobState::Done | JobState::Failed)
     }
 
-    /// Whether a wait for the start is over: the job runs or has ended (GFD.231, section 8.5).
+    /// Whether a wait for the start is over: the job runs or has ended (GFD.231, section 8.4).
     pub fn has_started(self) -> bool {
         self.is_final() || matches!(self, JobState::Running | JobState::Suspended)
     }
--- a/submission/src/template.rs
+++ b/submission/src/template.rs
@@ -1,12 +1,12 @@
 //! The job template: DRMAA's attributes as far as they mean something here, and the three that it lacks. Each other
-//! attribute of GFD.231, section 6.2, is refused by name.
+//! attribute of GFD.231, section 5.7, is refused by name.
 
 use crate::message::{ErrorId, Problem};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
-/// Stands for a job's index in the template of `runBulkJobs` (GFD.231, section 8.2.3).
+/// Stands for a job's index in the template of `runBulkJobs` (GFD.231, section 4.4).
 pub const PARAMETRIC_INDEX: &str = "${PARAMETRIC_INDEX}";
 /// The longest command, key or name, in bytes.
 pub const MAX_WORD: usize = 2048;
