--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run binding conformance bench soak
+.PHONY: build demo test lint run binding conformance bench
 
 # An unchanged DRMAA binding of another language and its examples, for the tests of libdrmaa.so.
 BINDING = target/binding
@@ -6,6 +6,10 @@
 build:
 	cargo build --release --locked
 
+# A node between stand-ins, and some jobs for it.
+demo: build
+	cargo run --quiet --release --locked -p marbledeck-lab --bin demo
+
 test: binding
 	MARBLEDECK_BINDING=$(CURDIR)/$(BINDING) cargo test --locked
 
