Read what a peer said before it went, also where it can no longer be written to

Under load, one upgrade in a dozen of a running bulk ended a job as lost that the old process had served: its last words were in the socket when the new one wrote to it, the write failed, and a connection that is broken was read no more. The same held for what lay beyond one turn's 64 KiB when a peer hung up.

A failed write now ends only writing; hanging up counts once all is read. A test closes a peer with 150 KB unread.

--- a/lab/src/node.rs
+++ b/lab/src/node.rs
@@ -144,9 +144,16 @@
         let mut child = command.spawn().expect("the node starts");
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let (sender, log) = channel();
+        let started = self.started;
         std::thread::spawn(move || {
-            let lines = stderr.lines().map_while(Result::ok);
-            lines.for_each(|line| drop(sender.send(line)));
+            // With MARBLEDECK_LAB_LOG the nodes' logs are shown: each line with the node's number.
+            let shown = std::env::var_os("MARBLEDECK_LAB_LOG").is_some();
+            for line in stderr.lines().map_while(Result::ok) {
+                if shown {
+                    eprintln!("node {started}: {line}");
+                }
+                let _ = sender.send(line);
+            }
         });
         self.submitters = said(&log, "takes submissions at ");
         self.operators = said(&log, "answers operators at ");
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -63,13 +63,14 @@
         }
     }
 
-    /// Reads what has come, as far as there is room and the turn lasts.
-    pub(super) fn fill(&mut self) {
+    /// Reads what has come, as far as there is room and the turn lasts. Tells whether only the turn's end keeps it from
+    /// reading on. What a peer has said before it went counts, also where it can no longer be written to.
+    pub(super) fn fill(&mut self) -> bool {
         let mut left = TURN;
-        while left > 0 && !self.eof && !self.broken {
+        while left > 0 && !self.eof {
             let free = self.input.free();
             if free.is_empty() {
-                return;
+                return false;
             }
             match rustix::io::read(&self.fd, free) {
                 Ok(0) => self.eof = true,
@@ -77,11 +78,15 @@
                     self.input.filled(n);
                     left = left.saturating_sub(n);
                 }
-                Err(Errno::AGAIN) => return,
+                Err(Errno::AGAIN) => return false,
                 Err(Errno::INTR) => {}
-                Err(_) => self.broken = true,
+                Err(_) => {
+                    self.broken = true;
+                    return false;
+                }
             }
         }
+        left == 0
     }
 
     /// Drops what has come on a connection that is being closed. It needs no ring, and goes in larger pieces
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -450,12 +450,15 @@
             conn.connected();
         }
         conn.flush();
-        match conn.state {
-            State::Lingering => conn.drop_rest(),
+        let more = match conn.state {
+            State::Lingering => {
+                conn.drop_rest();
+                false
+            }
             _ => conn.fill(),
-        }
+        };
         // Both directions are gone: without this, a full input would be told of again and again.
-        conn.broken |= flags.intersects(EventFlags::ERR | EventFlags::HUP);
+        conn.broken |= !more && flags.intersects(EventFlags::ERR | EventFlags::HUP);
         if conn.state == State::Lingering || conn.closing {
             if conn.broken || conn.eof && conn.output.is_empty() {
                 self.close(token);
@@ -488,3 +491,43 @@
     let fd = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
     Ok(fd)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+    use std::os::unix::net::UnixStream;
+
+    /// A peer's last words count though it has gone by the time at which something is written to it, and however much
+    /// they are. Guards against losing what the other process of the node had told just before its end.
+    #[test]
+    fn last_words() {
+        let (ours, mut theirs) = UnixStream::pair().unwrap();
+        ours.set_nonblocking(true).unwrap();
+        let mut net = Net::new().unwrap();
+        let token = net.join(ours.into(), Peer::Partner).unwrap();
+        let words = vec![b'w'; 150_000];
+        theirs.set_nonblocking(true).unwrap();
+        let said = theirs.write(&words).unwrap();
+        assert!(
+            said > TURN_AND_MORE,
+            "the socket holds more than a turn reads"
+        );
+        drop(theirs);
+        assert!(net.write(token, b"too late"));
+        net.settle(Micros(1));
+        let mut happened = Vec::new();
+        for _ in 0..8 {
+            net.wait(Micros(1), Some(Micros(1)), &mut happened);
+            for event in happened.drain(..) {
+                net.pump(event);
+            }
+            net.settle(Micros(1));
+        }
+        let conn = net.get(token).unwrap();
+        assert!(conn.broken || conn.eof);
+        assert_eq!(conn.input.len(), said);
+    }
+
+    const TURN_AND_MORE: usize = 64 * 1024 + 1;
+}
