--- /dev/null
+++ b/membership/tests/cases.rs
@@ -0,0 +1,317 @@
+//! The precedence and the guard, case by case.
+
+use marbledeck::{Entry, Micros, State};
+use marbledeck_facts::worker_id;
+use marbledeck_membership::{Guard, Membership, Sign, SourceId, Status, Told, Word};
+
+fn secs(s: u64) -> Micros {
+    Micros(s * 1_000_000)
+}
+
+fn up(id: &str, port: u16) -> Word {
+    Word::new(id, &format!("127.0.0.1:{port}"), Status::Up)
+}
+
+fn state(told: &Told, id: &str) -> Option<State> {
+    let entry = told
+        .entries
+        .iter()
+        .rev()
+        .find(|entry: &&Entry| entry.worker == worker_id(id));
+    entry.map(|entry| entry.state)
+}
+
+fn guarded() -> (Membership, SourceId) {
+    let mut members = Membership::new(vec!["east".into(), "west".into()], vec!["std".into()]);
+    let registry = members.add_source("registry", Some(Guard::default()));
+    (members, registry)
+}
+
+/// A registry that restarts empty and fills in any order takes nobody out, and nothing is told twice.
+#[test]
+fn an_empty_list_at_a_restart() {
+    let (mut members, registry) = guarded();
+    let all: Vec<Word> = (0..100).map(|n| up(&format!("w{n}"), 8000 + n)).collect();
+    assert_eq!(
+        members.list(secs(0), registry, all.clone()).entries.len(),
+        100
+    );
+    assert!(members
+        .list(secs(10), registry, Vec::new())
+        .entries
+        .is_empty());
+    assert_eq!(members.doubtful(), 100);
+    for (n, word) in all.into_iter().rev().enumerate() {
+        let told = members.change(secs(11), registry, word);
+        assert!(told.entries.is_empty() && told.stale.is_empty(), "{n}");
+    }
+    assert_eq!(members.doubtful(), 0);
+}
+
+/// Half of the fleet expires while it serves: those that answer stay for as long as the guarantee says, the dead go
+/// within it.
+#[test]
+fn a_registry_cut_off() {
+    let (mut members, registry) = guarded();
+    let all: Vec<Word> = (0..10).map(|n| up(&format!("w{n}"), 8000 + n)).collect();
+    members.list(secs(0), registry, all.clone());
+    members.list(secs(1), registry, all[..5].to_vec());
+    let guard = Guard::default();
+    let mut gone = Vec::new();
+    for second in 1..400 {
+        let now = secs(second);
+        let mut told = members.wake(now);
+        // 5 to 7 answer their probes, 8 and 9 are dead.
+        for worker in members.take_probes() {
+            let dead = [worker_id("w8"), worker_id("w9")].contains(&worker);
+            let sign = if dead { Sign::Death } else { Sign::Life };
+            told.entries.extend(members.sign(now, worker, sign).entries);
+        }
+        gone.extend(
+            told.entries
+                .iter()
+                .map(|entry| (second, entry.worker, entry.state)),
+        );
+    }
+    let when = |id: &str| {
+        gone.iter()
+            .find(|(_, worker, _)| *worker == worker_id(id))
+            .map(|(at, ..)| *at)
+    };
+    for dead in ["w8", "w9"] {
+        let at = when(dead).expect("the dead go");
+        assert!(at <= 1 + u64::from(guard.fails) * 2 + 1, "{dead} at {at}");
+    }
+    for alive in ["w5", "w6", "w7"] {
+        assert_eq!(when(alive), Some(1 + 300), "{alive}");
+    }
+    assert_eq!(gone.len(), 5);
+    assert!(gone.iter().all(|(.., state)| *state == State::Gone));
+}
+
+/// A budget of probes: with more doubtful workers than it allows in a span, all have their turn.
+#[test]
+fn a_budget_of_probes() {
+    let mut members = Membership::new(Vec::new(), Vec::new());
+    let guard = Guard {
+        budget: 10,
+        ..Guard::default()
+    };
+    let registry = members.add_source("registry", Some(guard));
+    members.list(
+        secs(0),
+        registry,
+        (0..35).map(|n| up(&format!("w{n}"), 8000 + n)).collect(),
+    );
+    members.list(secs(0), registry, Vec::new());
+    let (mut probed, mut spans) = (std::collections::HashMap::new(), Vec::new());
+    let mut now = secs(0);
+    while now < secs(16) {
+        members.wake(now);
+        for worker in members.take_probes() {
+            spans.push(now);
+            *probed.entry(worker).or_insert(0) += 1;
+            members.sign(now, worker, Sign::Life);
+        }
+        now = members
+            .next_wake()
+            .expect("they are looked at")
+            .max(now + Micros(1));
+    }
+    for (n, at) in spans.iter().enumerate() {
+        let within = spans[n..]
+            .iter()
+            .take_while(|later| **later < *at + secs(2) - Micros(8))
+            .count();
+        assert!(within <= 10, "{within} probes in a span");
+    }
+    assert_eq!(probed.len(), 35);
+    assert!(
+        probed.values().all(|probes| (1..=4).contains(probes)),
+        "{probed:?}"
+    );
+}
+
+/// Explicit words are never held back, whatever the guard thinks of the source.
+#[test]
+fn explicit_words() {
+    let (mut members, registry) = guarded();
+    members.list(secs(0), registry, vec![up("w1", 8001), up("w2", 8002)]);
+    members.list(secs(1), registry, Vec::new());
+    let word = Word {
+        status: Status::OutOfService,
+        ..up("w1", 8001)
+    };
+    assert_eq!(
+        state(&members.change(secs(1), registry, word), "w1"),
+        Some(State::Draining)
+    );
+    assert_eq!(
+        state(&members.remove(secs(1), registry, "w2", true), "w2"),
+        Some(State::Gone)
+    );
+    // One that was out of service and is missing goes at once.
+    assert_eq!(
+        state(&members.remove(secs(2), registry, "w1", false), "w1"),
+        Some(State::Gone)
+    );
+}
+
+/// A silent registry changes nothing; its workers go by their own signs, and come back with its next word.
+#[test]
+fn a_silent_registry() {
+    let (mut members, registry) = guarded();
+    members.list(secs(0), registry, vec![up("w1", 8001), up("w2", 8002)]);
+    let mut now = secs(0);
+    while now < secs(1000) {
+        now = members
+            .next_wake()
+            .expect("it is watched")
+            .max(now + Micros(1));
+        assert!(members.wake(now).entries.is_empty());
+        for worker in members.take_probes() {
+            let sign = if worker == worker_id("w2") && now > secs(500) {
+                Sign::Death
+            } else {
+                Sign::Life
+            };
+            let told = members.sign(now, worker, sign);
+            assert!(told
+                .entries
+                .iter()
+                .all(|entry| entry.worker == worker_id("w2") && now > secs(500)));
+        }
+    }
+    assert_eq!((members.knows("w1"), members.knows("w2")), (true, false));
+    let told = members.list(now, registry, vec![up("w1", 8001), up("w2", 8002)]);
+    assert_eq!(
+        (told.entries.len(), state(&told, "w2")),
+        (1, Some(State::Ready))
+    );
+    assert_eq!(members.doubtful(), 0);
+}
+
+/// By hand over any source's drain, any source's drain over any source's up; the latest start; two addresses.
+#[test]
+fn precedence() {
+    let mut members = Membership::new(vec!["east".into()], Vec::new());
+    let first = members.add_source("directory", None);
+    let second = members.add_source("registry", None);
+    let started = |at, port| Word {
+        started: Some(secs(at)),
+        zone: "east".into(),
+        ..up("w1", port)
+    };
+    members.change(secs(9), first, started(5, 8001));
+    let told = members.change(secs(9), second, started(7, 8002));
+    assert_eq!(told.entries[0].started, Some(secs(7)));
+    assert_eq!(told.stale, [worker_id("w1")], "it has moved");
+    assert_eq!(members.place(worker_id("w1")).unwrap().addr.port(), 8002);
+    let drain = Word {
+        status: Status::Draining,
+        ..started(5, 8001)
+    };
+    assert_eq!(
+        state(&members.change(secs(9), first, drain), "w1"),
+        Some(State::Draining)
+    );
+    assert!(members
+        .change(secs(9), second, started(7, 8002))
+        .entries
+        .is_empty());
+    members.change(secs(9), first, started(5, 8001));
+    assert_eq!(
+        state(&members.set_out("w1", true), "w1"),
+        Some(State::Draining)
+    );
+    assert!(members
+        .change(secs(9), second, started(7, 8002))
+        .entries
+        .is_empty());
+    assert_eq!(members.views(secs(9))[0].why, "out by hand");
+    assert_eq!(
+        state(&members.set_out("w1", false), "w1"),
+        Some(State::Ready)
+    );
+    assert!(members
+        .remove(secs(9), second, "w1", true)
+        .stale
+        .contains(&worker_id("w1")));
+    assert_eq!(members.place(worker_id("w1")).unwrap().addr.port(), 8001);
+}
+
+/// One address under two ids: the earlier source's counts, and the other comes in when it leaves.
+#[test]
+fn one_address_under_two_ids() {
+    let mut members = Membership::new(Vec::new(), Vec::new());
+    let first = members.add_source("directory", None);
+    let second = members.add_source("registry", None);
+    members.change(secs(0), second, up("host:8001", 8001));
+    let told = members.change(secs(0), first, up("w1", 8001));
+    assert_eq!(
+        (state(&told, "w1"), state(&told, "host:8001")),
+        (Some(State::Ready), Some(State::Draining))
+    );
+    let told = members.remove(secs(0), first, "w1", true);
+    assert_eq!(
+        (state(&told, "w1"), state(&told, "host:8001")),
+        (Some(State::Gone), Some(State::Ready))
+    );
+}
+
+/// A word of before is no news; an id twice in a list is told off if either says so.
+#[test]
+fn old_words_and_double_ones() {
+    let (mut members, registry) = guarded();
+    let dirty = |dirty, status| Word {
+        dirty,
+        status,
+        ..up("w1", 8001)
+    };
+    members.change(secs(0), registry, dirty(5, Status::OutOfService));
+    assert!(members
+        .change(secs(1), registry, dirty(4, Status::Up))
+        .entries
+        .is_empty());
+    assert_eq!(
+        state(
+            &members.change(secs(1), registry, dirty(6, Status::Up)),
+            "w1"
+        ),
+        Some(State::Ready)
+    );
+    for order in [[Status::Up, Status::Down], [Status::Down, Status::Up]] {
+        let list = order.map(|status| dirty(7, status)).into();
+        members.list(secs(2), registry, list);
+        assert_eq!(members.entry("w1").unwrap().state, State::Draining);
+    }
+}
+
+/// A list in parts misses nobody before its end, and looks at no more than it is asked to.
+#[test]
+fn a_list_in_parts() {
+    let (mut members, registry) = guarded();
+    members.list(
+        secs(0),
+        registry,
+        (0..300)
+            .map(|n| up(&format!("w{n:03}"), 8000 + n))
+            .collect(),
+    );
+    members.begin(registry);
+    for n in 0..150 {
+        members.part(secs(1), registry, vec![up(&format!("w{n:03}"), 8000 + n)]);
+        assert_eq!(members.doubtful(), 0);
+    }
+    let (mut after, mut sweeps) = (None, 0);
+    loop {
+        let (told, next) = members.sweep(secs(1), registry, after.as_deref(), 64);
+        assert!(told.entries.is_empty());
+        sweeps += 1;
+        after = next;
+        if after.is_none() {
+            break;
+        }
+    }
+    assert_eq!((members.doubtful(), sweeps), (150, 5));
+}
--- a/node/src/directory/mod.rs
+++ b/node/src/directory/mod.rs
@@ -2,12 +2,13 @@
 
 use crate::clock::{millis, Clock};
 use crate::core::Core;
+use crate::fleet::Fleet;
 use crate::net::http::{self, Body};
 use crate::net::{Net, Peer, Token};
-use marbledeck::{CellId, Entry, KindId, ListKind, Micros, State, WorkerId, ZoneId};
-use marbledeck_facts::worker_id;
+use marbledeck::{CellId, ListKind, Micros};
+use marbledeck_membership::{Membership, SourceId, Status, Told, Word};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// How long a watch waits for a change. A silent directory is noticed after this and [`GRACE`].
@@ -58,18 +59,50 @@
 /// The phase of a worker that has left the list.
 const GONE: &str = "removed";
 
+/// The phases, as the directory writes them.
+const UP: &str = "up";
+const DRAINING: &str = "draining";
+
 impl Member {
-    fn addr(&self) -> Option<SocketAddr> {
-        self.host_port.parse().ok()
+    /// What it says, and whether it says that the worker is gone.
+    fn word(self) -> (Word, bool) {
+        let addr = self.host_port.parse().ok();
+        if addr.is_none() && self.phase != GONE {
+            log::warn!("directory: '{}' is no address", self.host_port);
+        }
+        let word = Word {
+            id: self.id,
+            addr,
+            // An unknown phase is no invitation to send there.
+            status: match self.phase.as_str() {
+                UP => Status::Up,
+                DRAINING => Status::Draining,
+                _ => Status::Unknown,
+            },
+            zone: self.locality,
+            kind: self.flavor,
+            cell: self.cell.map(CellId),
+            started: Clock::from_unix_ms(self.up_since_ms),
+            dirty: 0,
+        };
+        (word, self.phase == GONE)
     }
-}
 
-/// Where a worker is.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Place {
-    pub name: String,
-    pub addr: SocketAddr,
-    started: Option<Micros>,
+    /// A word as the directory writes it.
+    fn of(word: &Word) -> Self {
+        Member {
+            id: word.id.clone(),
+            host_port: word.addr.map_or(String::new(), |addr| addr.to_string()),
+            locality: word.zone.clone(),
+            flavor: word.kind.clone(),
+            cell: word.cell.map(|cell| cell.0),
+            phase: match word.status {
+                Status::Up => UP.to_owned(),
+                _ => DRAINING.to_owned(),
+            },
+            up_since_ms: word.started.map_or(0, |at| at.0 / 1000),
+        }
+    }
 }
 
 struct Call {
@@ -81,14 +114,8 @@
 
 pub struct Directory {
     addr: SocketAddr,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+    source: SourceId,
     revision: u64,
-    places: HashMap<WorkerId, Place>,
-    /// The directory's word on each worker in its list.
-    listed: HashMap<WorkerId, Member>,
-    /// The workers taken out by hand, whether they are in the list or not: they may leave it and come back.
-    out: BTreeSet<String>,
     call: Option<Call>,
     /// The node has moved to another directory, which has not told its list yet.
     moving: bool,
@@ -96,98 +123,42 @@
     again: Option<Micros>,
     /// An open connection between two calls.
     idle: Option<Token>,
-    /// Workers whose connections are of no more use: gone, moved or started anew.
-    pub stale: Vec<WorkerId>,
 }
 
 impl Directory {
-    pub fn new(addr: SocketAddr, zones: Vec<String>, kinds: Vec<String>) -> Self {
+    /// Watches this directory, which is this source of the fleet.
+    pub fn new(addr: SocketAddr, source: SourceId) -> Self {
         Directory {
             addr,
-            zones,
-            kinds,
+            source,
             revision: 0,
-            places: HashMap::new(),
-            listed: HashMap::new(),
-            out: BTreeSet::new(),
             call: None,
             moving: false,
             again: None,
             idle: None,
-            stale: Vec::new(),
         }
     }
 
-    pub fn place(&self, worker: WorkerId) -> Option<&Place> {
-        self.places.get(&worker)
-    }
-
     /// What another process of this node can start from: the list as last told, and who is out by hand.
-    pub fn bequest(&self) -> Bequest {
-        let mut members: Vec<Member> = self.listed.values().cloned().collect();
-        members.sort_by(|a, b| a.id.cmp(&b.id));
+    pub fn bequest(&self, members: &Membership) -> Bequest {
         // A directory that is only being moved to counts its revisions in its own way.
         let revision = if self.moving { 0 } else { self.revision };
         let list = Listing {
             revision,
             complete: true,
-            members,
+            members: members.words(self.source).map(Member::of).collect(),
         };
         Bequest {
-            out: self.out.clone(),
+            out: members.out().clone(),
             list,
         }
     }
 
-    /// Starts from what another process of this node knew.
-    pub fn inherit(&mut self, out: BTreeSet<String>) {
-        self.out = out;
-    }
-
-    /// Whether a worker of this id is in the list, or out by hand.
-    pub fn knows(&self, id: &str) -> bool {
-        self.out.contains(id) || self.listed.contains_key(&worker_id(id))
-    }
-
-    /// Takes a worker out by hand, or calls it back, whatever the directory has told or will tell of it meanwhile.
-    pub fn set_out(&mut self, now: Micros, id: &str, out: bool, core: &mut Core) {
-        let changed = match out {
-            true => self.out.insert(id.to_owned()),
-            false => self.out.remove(id),
-        };
-        let worker = worker_id(id);
-        if let Some(member) = self.listed.get(&worker).filter(|_| changed) {
-            let entry = self.merged(worker, member);
-            core.listed(now, ListKind::Delta, vec![entry]);
-        }
-    }
-
-    /// The workers in the list by their ids, and whether each is out by hand.
-    pub fn members(&self) -> Vec<(WorkerId, &Member, bool)> {
-        let listed = self.listed.iter();
-        let mut members: Vec<_> = listed
-            .map(|(worker, member)| (*worker, member, self.out.contains(&member.id)))
-            .collect();
-        members.sort_by(|a, b| a.1.id.cmp(&b.1.id));
-        members
-    }
-
-    /// How many workers are in the list, and how many of them are out by hand or as `resting` tells.
-    pub fn count(&self, resting: impl Fn(WorkerId) -> bool) -> (usize, usize) {
-        let avoided = |(worker, member): &(&WorkerId, &Member)| {
-            self.out.contains(&member.id) || resting(**worker)
-        };
-        (
-            self.listed.len(),
-            self.listed.iter().filter(avoided).count(),
-        )
-    }
-
     /// Starts from the list that this node last had; it may be old.
-    pub fn known(&mut self, now: Micros, listing: Listing, core: &mut Core) {
+    pub fn known(&mut self, now: Micros, listing: Listing, fleet: &mut Fleet, core: &mut Core) {
         self.revision = listing.revision;
-        let entries = self.learn(true, listing.members);
-        core.listed(now, ListKind::Cached, entries);
+        let told = self.learn(now, true, listing.members, fleet);
+        fleet.pass_on(now, ListKind::Cached, told, core);
     }
 
     /// When [`Directory::wake`] is next wanted.
@@ -259,7 +230,14 @@
     }
 
     /// Something has come from the directory.
-    pub fn ready(&mut self, now: Micros, token: Token, net: &mut Net, core: &mut Core) {
+    pub fn ready(
+        &mut self,
+        now: Micros,
+        token: Token,
+        fleet: &mut Fleet,
+        net: &mut Net,
+        core: &mut Core,
+    ) {
         if self.call.as_ref().is_none_or(|call| call.token != token) {
             self.idle = self.idle.filter(|idle| *idle != token);
             return net.close(token);
@@ -267,7 +245,7 @@
         match self.read(token, net) {
             Ok(None) => {}
             Ok(Some(listing)) => {
-                self.told(now, listing, core);
+                self.told(now, listing, fleet, core);
                 // A watch goes on only where the next call comes soon after the answer: now.
                 self.watch(now, net, core);
             }
@@ -314,14 +292,14 @@
         }
     }
 
-    fn told(&mut self, now: Micros, listing: Listing, core: &mut Core) {
+    fn told(&mut self, now: Micros, listing: Listing, fleet: &mut Fleet, core: &mut Core) {
         (self.revision, self.moving) = (listing.revision, false);
         let kind = match listing.complete {
             true => ListKind::Full,
             false => ListKind::Delta,
         };
-        let entries = self.learn(listing.complete, listing.members);
-        core.listed(now, kind, entries);
+        let told = self.learn(now, listing.complete, listing.members, fleet);
+        fleet.pass_on(now, kind, told, core);
     }
 
     /// The call has failed: the list stays, and the dispatcher says when to ask again. Not so while the node
@@ -339,66 +317,8 @@
         core.listed(now, ListKind::Failed, Vec::new());
     }
 
-    fn learn(&mut self, complete: bool, members: Vec<Member>) -> Vec<Entry> {
-        let ids: Vec<WorkerId> = members.iter().map(|m| worker_id(&m.id)).collect();
-        if complete {
-            let absent = self.places.keys().filter(|id| !ids.contains(id));
-            self.stale.extend(absent);
-            self.places.retain(|id, _| ids.contains(id));
-            self.listed.retain(|id, _| ids.contains(id));
-        }
-        let mut entries = Vec::with_capacity(members.len());
-        for (worker, member) in ids.into_iter().zip(members) {
-            entries.push(self.entry(worker, member));
-        }
-        entries
-    }
-
-    /// Takes in one line of the list.
-    fn entry(&mut self, worker: WorkerId, member: Member) -> Entry {
-        let entry = self.merged(worker, &member);
-        if member.phase == GONE {
-            self.places.remove(&worker);
-            self.listed.remove(&worker);
-            self.stale.push(worker);
-            return entry;
-        }
-        match member.addr() {
-            Some(addr) => {
-                let place = Place {
-                    name: member.id.clone(),
-                    addr,
-                    started: entry.started,
-                };
-                let old = self.places.insert(worker, place.clone());
-                if old.is_some_and(|old| old != place) {
-                    self.stale.push(worker);
-                }
-            }
-            None => log::warn!("directory: '{}' is no address", member.host_port),
-        }
-        self.listed.insert(worker, member);
-        entry
-    }
-
-    /// What the dispatcher is told of a worker: the directory's word, and no new work for one that is out by hand.
-    /// This is the one place where the two meet, so that no later word of the directory undoes an operator's.
-    fn merged(&self, worker: WorkerId, member: &Member) -> Entry {
-        let state = match member.phase.as_str() {
-            GONE => State::Gone,
-            // It cannot be sent to without an address, and what is known of its state still counts.
-            "up" if member.addr().is_some() && !self.out.contains(&member.id) => State::Ready,
-            // An unknown phase is no invitation to send there.
-            _ => State::Draining,
-        };
-        let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        Entry {
-            worker,
-            state,
-            zone: ZoneId(position(&self.zones, &member.locality).map_or(u32::MAX, |i| i as u32)),
-            kind: KindId(position(&self.kinds, &member.flavor).map_or(u32::MAX, |i| i as u32)),
-            cell: member.cell.map(CellId),
-            started: Clock::from_unix_ms(member.up_since_ms),
-        }
+    fn learn(&self, now: Micros, complete: bool, members: Vec<Member>, fleet: &mut Fleet) -> Told {
+        let words = members.into_iter().map(Member::word).collect();
+        fleet.members.tell(now, self.source, complete, words)
     }
 }
--- /dev/null
+++ b/node/src/fleet.rs
@@ -0,0 +1,54 @@
+//! The fleet as the node has it: the membership, what the links to the workers are to forget, and the way of changes to
+//! the core.
+
+use crate::core::Core;
+use marbledeck::{ListKind, Micros, WorkerId};
+use marbledeck_membership::{Membership, Place, Told};
+
+pub struct Fleet {
+    pub members: Membership,
+    /// Workers whose connections are of no more use: gone, moved or started anew.
+    pub stale: Vec<WorkerId>,
+}
+
+impl Fleet {
+    pub fn new(members: Membership) -> Self {
+        Fleet {
+            members,
+            stale: Vec::new(),
+        }
+    }
+
+    /// Tells the core what has changed.
+    pub fn pass_on(&mut self, now: Micros, kind: ListKind, told: Told, core: &mut Core) {
+        self.stale.extend(told.stale);
+        core.listed(now, kind, told.entries);
+    }
+
+    /// The same, for changes that no list of the platform's brought.
+    pub fn changed(&mut self, now: Micros, told: Told, core: &mut Core) {
+        self.stale.extend(told.stale.iter().copied());
+        if !told.entries.is_empty() {
+            core.listed(now, ListKind::Delta, told.entries);
+        }
+    }
+
+    pub fn place(&self, worker: WorkerId) -> Option<&Place> {
+        self.members.place(worker)
+    }
+
+    /// Takes a worker out by hand, or calls it back, whatever any source has told or will tell of it meanwhile.
+    pub fn set_out(&mut self, now: Micros, id: &str, out: bool, core: &mut Core) {
+        let told = self.members.set_out(id, out);
+        self.changed(now, told, core);
+    }
+
+    /// How many workers are named, and how many of them are out by hand or as `resting` tells.
+    pub fn count(&self, resting: impl Fn(WorkerId) -> bool) -> (usize, usize) {
+        let avoided = self
+            .members
+            .workers()
+            .filter(|(worker, _, out)| *out || resting(*worker));
+        (self.members.len(), avoided.count())
+    }
+}
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -5,6 +5,7 @@
 use crate::consumers::Consumers;
 use crate::core::{Command, Core};
 use crate::directory::{self, Directory};
+use crate::fleet::Fleet;
 use crate::handover::{self, Handover, News, Side, Word};
 use crate::net::{Net, Peer, Ready, Token};
 use crate::ops::{self, Call, Ops};
@@ -13,6 +14,7 @@
 use crate::workers::{Figures, Workers};
 use marbledeck::Micros;
 use marbledeck_facts::{worker_id, Facts};
+use marbledeck_membership::Membership;
 use rustix::fd::OwnedFd;
 use serde::{Deserialize, Serialize};
 use std::io;
@@ -185,16 +187,18 @@
             most: config.most_worker_connections,
             by_submission,
         });
-        let mut directory = Directory::new(config.directory, config.zones, config.kinds);
+        let mut members = Membership::new(config.zones, config.kinds);
+        let mut directory = Directory::new(config.directory, members.add_source("directory", None));
         let known = match &link {
             Some(_) => {
                 log::info!("{} takes over from a process that runs", config.name);
-                directory.inherit(bequest.fleet.out);
+                members.inherit(bequest.fleet.out);
                 bequest.fleet.list
             }
             None => config.known.unwrap_or_default(),
         };
-        directory.known(now, known, &mut core);
+        let mut fleet = Fleet::new(members);
+        directory.known(now, known, &mut fleet, &mut core);
         let link = link.map(|link| net.join(link.into(), Peer::Partner));
         let path = config.handover.as_deref();
         let mut handover = Handover::new(path, link.transpose()?, &mut net);
@@ -212,6 +216,7 @@
                 core,
                 workers,
                 directory,
+                fleet,
             },
             consumers,
             parties,
@@ -284,6 +289,7 @@
             core,
             workers,
             directory,
+            ..
         } = &mut self.hub;
         workers.wake(now, net, core);
         directory.wake(now, net, core);
@@ -328,9 +334,10 @@
                     net,
                     core,
                     directory,
+                    fleet,
                     ..
                 } = &mut self.hub;
-                directory.ready(now, token, net, core);
+                directory.ready(now, token, fleet, net, core);
             }
             Peer::Party(number) => {
                 if let Some(party) = self.parties.get_mut(usize::from(number)) {
@@ -369,7 +376,7 @@
         let answer = match call {
             Call::Check => self.serves(),
             Call::Vars => {
-                let (listed, avoided) = self.hub.directory.count(|w| self.hub.core.rests(now, w));
+                let (listed, avoided) = self.hub.fleet.count(|w| self.hub.core.rests(now, w));
                 let text = ops::figures(&self.hub.core, listed, avoided);
                 if let Some(ops) = &mut self.ops {
                     ops.say(caller, &text, &mut self.hub.net);
@@ -394,7 +401,7 @@
 
     /// An operator takes a worker out or calls it back.
     fn set_out(&mut self, now: Micros, id: String, out: bool) -> ops::Answer {
-        if !self.hub.directory.knows(&id) {
+        if !self.hub.fleet.members.knows(&id) {
             return Err("unknown render worker".into());
         }
         let word = if out { "out" } else { "may serve" };
@@ -413,9 +420,10 @@
             net,
             core,
             workers,
-            directory,
+            fleet,
+            ..
         } = &mut self.hub;
-        directory.set_out(now, id, out, core);
+        fleet.set_out(now, id, out, core);
         if out {
             workers.hold_back(now, worker_id(id), net, core);
         }
@@ -436,7 +444,7 @@
                     .chain(parties)
                     .collect();
                 let bequest = Bequest {
-                    fleet: self.hub.directory.bequest(),
+                    fleet: self.hub.directory.bequest(&self.hub.fleet.members),
                     parties: self.parties.iter().map(|p| p.name().to_owned()).collect(),
                 };
                 // What was told to one that came before is told to this one anew.
@@ -636,8 +644,9 @@
                 core,
                 workers,
                 directory,
+                fleet,
             } = &mut self.hub;
-            for worker in std::mem::take(&mut directory.stale) {
+            for worker in std::mem::take(&mut fleet.stale) {
                 workers.forget(worker, net);
             }
             let Some(command) = core.command() else {
@@ -645,12 +654,12 @@
             };
             match command {
                 Command::Call(call) => {
-                    let place = directory.place(call.worker);
+                    let place = fleet.place(call.worker);
                     workers.call(now, &call, place, net, core);
                 }
                 Command::GiveUp { id, attempt } => workers.give_up(id, attempt, net),
                 Command::Probe(worker) => {
-                    let place = directory.place(worker);
+                    let place = fleet.place(worker);
                     workers.probe(now, worker, place, net, core);
                 }
                 Command::Watch => directory.watch(now, net, core),
--- a/node/src/party.rs
+++ b/node/src/party.rs
@@ -6,6 +6,7 @@
 
 use crate::core::{Core, Verdict};
 use crate::directory::Directory;
+use crate::fleet::Fleet;
 use crate::handover::Side;
 use crate::net::{Net, Ready, Token};
 use crate::workers::Workers;
@@ -18,6 +19,7 @@
     pub core: Core,
     pub workers: Workers,
     pub directory: Directory,
+    pub fleet: Fleet,
 }
 
 /// One kind of peer. What a party has no use for has a default.
--- a/node/src/submission/desk.rs
+++ b/node/src/submission/desk.rs
@@ -2,7 +2,8 @@
 
 use crate::core::{Malformed, Order as CoreOrder, Work};
 use crate::party::Hub;
-use marbledeck::{Effect, Micros, RequestId};
+use marbledeck::{Effect, Micros, RequestId, State};
+use marbledeck_facts::worker_id;
 use marbledeck_submission::message::{Machine, Problem, Queue};
 use marbledeck_submission::{ClassFacts, Desk, Order};
 
@@ -89,30 +90,37 @@
         let Hub {
             core,
             workers,
-            directory,
+            fleet,
             ..
         } = &*self.0;
         let out = workers.out();
-        let machine = |(worker, member, by_hand): (_, &crate::directory::Member, bool)| {
+        let views = fleet.members.views(now).into_iter();
+        let machine = |view: marbledeck_membership::View| {
+            let worker = worker_id(&view.id);
             let told = workers.told(worker);
-            let resting = core.rests(now, worker);
-            let state = match (by_hand, member.phase.as_str(), resting) {
-                (true, ..) => "out",
-                (_, "up", true) => "resting",
-                (_, phase, _) => phase,
+            let by_hand = fleet.members.out().contains(&view.id);
+            let word = fleet.members.word(&view.id);
+            let state = match (by_hand, view.state, core.rests(now, worker)) {
+                (true, ..) => "out".to_owned(),
+                (_, State::Ready, true) => "resting".to_owned(),
+                (_, State::Ready, false) => "up".to_owned(),
+                _ => word.map_or("gone".to_owned(), |word| word.status.to_string()),
             };
             Machine {
-                name: member.id.clone(),
                 available: state == "up",
-                state: state.to_owned(),
-                zone: member.locality.clone(),
-                kind: member.flavor.clone(),
-                address: member.host_port.clone(),
+                state,
+                zone: word.map_or(String::new(), |word| word.zone.clone()),
+                kind: word.map_or(String::new(), |word| word.kind.clone()),
+                address: view.addr.map_or(String::new(), |addr| addr.to_string()),
                 calls: out.get(&worker).copied().unwrap_or_default(),
                 free_slots: told.and_then(|(_, report)| report.free_slots),
                 report_age_ms: told.map(|(at, _)| (now - at).0 / 1000),
+                name: view.id,
             }
         };
-        directory.members().into_iter().map(machine).collect()
+        views
+            .filter(|view| view.state != State::Gone)
+            .map(machine)
+            .collect()
     }
 }
--- a/node/src/submission/mod.rs
+++ b/node/src/submission/mod.rs
@@ -292,7 +292,7 @@
     }
 
     fn running(&mut self, now: Micros, id: RequestId, worker: WorkerId, hub: &Hub) {
-        let place = hub.directory.place(worker);
+        let place = hub.fleet.place(worker);
         let name = place.map(|place| Rc::from(place.name.as_str()));
         self.server.running(now, id, name);
     }
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -6,11 +6,11 @@
 
 use crate::clock::millis;
 use crate::core::{Core, InvokerCall};
-use crate::directory::Place;
 use crate::net::conn::Connection;
 use crate::net::{Net, Peer, Token};
 use marbledeck::{Micros, Outcome, Report, RequestId, WorkerId};
 use marbledeck_facts::Reads;
+use marbledeck_membership::Place;
 use outcomes::{Answer, End, News};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use submitted::Submitted;
--- a/src/api.rs
+++ b/src/api.rs
@@ -295,7 +295,7 @@
 }
 
 /// A line of the list.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Entry {
     /// The worker.
     pub worker: WorkerId,
--- a/submission/tests/cases.rs
+++ b/submission/tests/cases.rs
@@ -630,3 +630,65 @@
     assert!(info["retryAfterMs"].is_u64());
     assert_eq!(b.state(1, &out), "QUEUED");
 }
+
+fn keyed_bulk(seq: u64) -> Value {
+    json!({"op": "runBulkJobs", "beginIndex": 1, "endIndex": 10_000, "seq": seq,
+        "template": {"remoteCommand": "/x", "jobCategory": "sheet", "submissionKey": "k-${PARAMETRIC_INDEX}"}})
+}
+
+fn roomy() -> Limits {
+    Limits {
+        max_jobs: 20_000,
+        max_bulk: 10_000,
+        ..limits()
+    }
+}
+
+/// A submitter dies, or the node is told to end, or another process takes over, after any number of turns of a bulk of
+/// 10,000: whoever resubmits it gets each index taken once.
+#[test]
+fn a_bulk_cut_at_every_step() {
+    for turns in (0..170).step_by(13) {
+        for how in ["dies", "ends", "upgrade"] {
+            let mut b = Bench::named(roomy(), "n0-1");
+            b.connect(1);
+            b.say(1, keyed_bulk(7));
+            (0..turns).for_each(|_| b.turn());
+            let before = b.desk.taken;
+            let mut heir = None;
+            match how {
+                "dies" => b.server.disconnect(b.now, 1),
+                "ends" => b.server.end(),
+                _ => {
+                    let mut new = Bench::named(roomy(), "n0-2");
+                    new.server.expect_transfer(new.now);
+                    b.server.begin_transfer();
+                    b.server.disconnect(b.now, 1);
+                    carry(&mut b, &mut new, usize::MAX);
+                    heir = Some(new);
+                }
+            }
+            (0..200).for_each(|_| b.turn());
+            if how == "ends" {
+                // Each index is answered: taken, or to come back.
+                let lines = b.take(1);
+                let answered: Vec<&Value> = lines
+                    .iter()
+                    .flat_map(|l| l["jobs"].as_array().unwrap())
+                    .collect();
+                assert_eq!(answered.len(), 10_000, "{turns}");
+                let taken = answered.iter().filter(|j| j["jobId"].is_string()).count();
+                assert_eq!((taken as u64, b.desk.taken), (before, before), "{turns}");
+                continue;
+            }
+            assert_eq!(b.desk.taken, before, "{how} {turns}: nothing more is taken");
+            let elders = if heir.is_some() { before } else { 0 };
+            let mut survivor = heir.unwrap_or(b);
+            survivor.connect(2);
+            survivor.say(2, keyed_bulk(8));
+            (0..200).for_each(|_| survivor.turn());
+            assert_eq!(survivor.desk.taken + elders, 10_000, "{how} {turns}");
+            assert_eq!(survivor.desk.duplicates, before, "{how} {turns}");
+        }
+    }
+}
