Learn of workers from Eureka and from static entries; one operator file for a site

Some archives keep their render machines in a Eureka registry; the node knew only the platform's directory.

A party carries the registry's answers to the reader and tells the membership a bounded part of what it finds in each turn. Doubtful workers are probed within a budget, and what calls show of them counts. The operator file (--site) has the submission front, the membership's guard, Eureka and static workers; every key is checked, config check names what is wrong. Operators see with members which source says what of each worker. Over an upgrade the new process starts from the old one's words.

--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -5,7 +5,7 @@
 
 /// A request with its body.
 #[derive(Clone, Debug, Default)]
-#[expect(dead_code, reason = "shown where a test fails")]
+
 pub struct Request {
     pub method: String,
     pub target: String,
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,9 +6,11 @@
 mod http;
 mod node;
 mod proxy;
+mod registry;
 mod worker;
 
 pub use directory::Directory;
 pub use node::{binary, Lab, Options};
 pub use proxy::Proxy;
+pub use registry::{Mood, Registry};
 pub use worker::{Act, Job, Worker};
--- a/lab/src/node.rs
+++ b/lab/src/node.rs
@@ -24,6 +24,10 @@
     pub sockets: usize,
     /// What the token buckets of a tenant bear, in jobs a second.
     pub quota: f64,
+    /// Further parts of the operator file.
+    pub site: String,
+    /// How many of the workers the directory names; all of them where none.
+    pub listed: Option<usize>,
 }
 
 impl Default for Options {
@@ -35,6 +39,8 @@
             memory_mb: 192,
             sockets: 1024,
             quota: 100_000.0,
+            site: String::new(),
+            listed: None,
         }
     }
 }
@@ -78,7 +84,7 @@
         let directory = Directory::start();
         let worker = |n: usize| Worker::start(&format!("w{n}"), options.slots);
         let workers: Vec<Worker> = (1..=options.workers).map(worker).collect();
-        for worker in &workers {
+        for worker in workers.iter().take(options.listed.unwrap_or(usize::MAX)) {
             directory.set(&worker.id, worker.addr, "up");
         }
         let mut lab = Lab {
@@ -126,9 +132,12 @@
         self.started += 1;
         let config = self.folder.join("config.json");
         fs::write(&config, self.config()).expect("written");
-        let front = self.folder.join("submission.toml");
-        let text = format!("listen = \"{}\"\n{}\n", self.submitters, self.options.front);
-        fs::write(&front, text).expect("written");
+        let site = self.folder.join("site.toml");
+        let text = format!(
+            "[submission]\nlisten = \"{}\"\n{}\n{}\n",
+            self.submitters, self.options.front, self.options.site
+        );
+        fs::write(&site, text).expect("written");
         let mut command = Command::new(binary());
         command
             .env("LB_CONFIG", &config)
@@ -137,10 +146,7 @@
             .env("LB_OPS", "127.0.0.1:0")
             .env("TMPDIR", &self.folder);
         command.env_remove("LB_NAME").env_remove("LB_DISCOVERY");
-        command
-            .arg("--submission")
-            .arg(&front)
-            .stderr(Stdio::piped());
+        command.arg("--site").arg(&site).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the node starts");
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let (sender, log) = channel();
@@ -171,6 +177,37 @@
         }
     }
 
+    /// What the node tells of its workers, a line each.
+    pub fn members(&self) -> Vec<String> {
+        use std::io::{Read, Write};
+        let mut text = String::new();
+        if let Ok(mut stream) = std::net::TcpStream::connect(&self.operators) {
+            let said = stream.write_all(b"members\n");
+            let _ = said.and_then(|()| stream.read_to_string(&mut text).map(drop));
+        }
+        let lines = text.lines().filter(|line| !line.starts_with("--"));
+        lines.map(str::to_owned).collect()
+    }
+
+    /// Waits until the line of a worker is so; none for one that has none.
+    ///
+    /// # Panics
+    /// It does not come to that.
+    pub fn until_member(&self, id: &str, is: impl Fn(Option<&str>) -> bool) {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let members = self.members();
+            let line = members
+                .iter()
+                .find(|line| line.split(' ').next() == Some(id));
+            if is(line.map(String::as_str)) {
+                return;
+            }
+            assert!(Instant::now() < until, "{id}: {line:?}");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Says a line at the operators' address of the node that was started last.
     pub fn operate(&self, call: &str) -> Option<String> {
         use std::io::Write;
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -54,7 +54,8 @@
 }
 
 impl Told {
-    fn and(&mut self, other: Told) {
+    /// Adds what came after.
+    pub fn and(&mut self, other: Told) {
         self.entries.extend(other.entries);
         self.stale.extend(other.stale);
     }
@@ -173,6 +174,22 @@
         SourceId(self.sources.len() - 1)
     }
 
+    /// The source of this name.
+    pub fn source(&self, name: &str) -> Option<SourceId> {
+        self.sources
+            .iter()
+            .position(|source| source.name == name)
+            .map(SourceId)
+    }
+
+    /// The names of the sources, in their order.
+    pub fn source_names(&self) -> Vec<(SourceId, &str)> {
+        let names = self.sources.iter().enumerate();
+        names
+            .map(|(at, source)| (SourceId(at), source.name.as_str()))
+            .collect()
+    }
+
     /// Whether any source is guarded: only then are [signs](Membership::sign) of any use.
     pub fn is_guarded(&self) -> bool {
         self.sources.iter().any(|source| source.guard.is_some())
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -3,8 +3,11 @@
 
 use crate::core::Catalogue;
 use crate::directory::Listing;
-use marbledeck::{Micros, Settings};
+use marbledeck::{CellId, Micros, Settings};
+use marbledeck_eureka::{Form, Keys};
 use marbledeck_facts::{Facts, Reads};
+use marbledeck_membership::{Guard, Status, Word};
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
@@ -302,6 +305,21 @@
     pub fn a_day_s() -> u64 {
         86_400
     }
+    pub fn poll_s() -> usize {
+        10
+    }
+    pub fn timeout_s() -> usize {
+        5
+    }
+    pub fn full_s() -> usize {
+        60
+    }
+    pub fn yes() -> bool {
+        true
+    }
+    pub fn json() -> String {
+        "json".to_owned()
+    }
     pub fn max_submitters() -> usize {
         64
     }
@@ -311,41 +329,297 @@
 }
 
 impl SubmissionConfig {
+    /// Reads a file that holds the front's keys alone.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
-        let source = path.display().to_string();
-        match std::fs::read_to_string(path) {
-            Ok(text) => Self::parse(&source, &text),
-            Err(e) => err(source, e),
+        let (source, text) = file(path)?;
+        let config: Self = toml_of(&source, &text)?;
+        config.check(&source)?;
+        Ok(config)
+    }
+
+    fn check(&self, source: &str) -> Result<(), ConfigError> {
+        let wanted = [
+            ("max_line", self.max_line, 1024, 160 * 1024),
+            ("max_jobs", self.max_jobs, 1, 262_144),
+            ("max_bytes", self.max_bytes, 1024, 256 * 1024 * 1024),
+            ("max_bulk", self.max_bulk, 1, 65_536),
+            ("max_sessions", self.max_sessions, 1, 4096),
+            ("history", self.history, 16, 65_536),
+            ("max_submitters", self.max_submitters, 1, 256),
+            ("retain_s", self.retain_s as usize, 1, 86_400),
+            ("hold_s", self.hold_s as usize, 1, 604_800),
+            ("session_s", self.session_s as usize, 1, 604_800),
+        ];
+        within(source, &wanted)
+    }
+}
+
+/// Whether each value lies between its bounds.
+fn within(source: &str, wanted: &[(&str, usize, usize, usize)]) -> Result<(), ConfigError> {
+    for (key, value, least, most) in wanted {
+        if !(least..=most).contains(&value) {
+            let key = format!("{source}: {key}");
+            return err(key, format_args!("want {least} to {most}"));
         }
     }
+    Ok(())
+}
 
-    fn parse(source: &str, text: &str) -> Result<Self, ConfigError> {
-        let toml = match toml::Deserializer::parse(text) {
-            Ok(toml) => toml,
-            Err(e) => return err(source, e.message()),
-        };
-        let read = serde_path_to_error::deserialize(toml);
-        let config: Self = keyed(source, read, |e: &toml::de::Error| e.message().to_owned())?;
+fn file(path: &Path) -> Result<(String, String), ConfigError> {
+    let source = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok((source, text)),
+        Err(e) => err(source, e),
+    }
+}
+
+fn toml_of<T: DeserializeOwned>(source: &str, text: &str) -> Result<T, ConfigError> {
+    let toml = match toml::Deserializer::parse(text) {
+        Ok(toml) => toml,
+        Err(e) => return err(source, e.message()),
+    };
+    let read = serde_path_to_error::deserialize(toml);
+    keyed(source, read, |e: &toml::de::Error| e.message().to_owned())
+}
+
+/// The operator file, as it is written.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SiteFile {
+    #[serde(default)]
+    submission: Option<SubmissionConfig>,
+    #[serde(default)]
+    membership: GuardFile,
+    #[serde(default)]
+    eureka: Option<EurekaFile>,
+    #[serde(default, rename = "static")]
+    statics: Vec<StaticFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct GuardFile {
+    keep_s: usize,
+    stale_s: usize,
+    probe_s: usize,
+    fails: usize,
+    budget: usize,
+    probes: bool,
+}
+
+impl Default for GuardFile {
+    fn default() -> Self {
+        GuardFile {
+            keep_s: 300,
+            stale_s: 90,
+            probe_s: 2,
+            fails: 2,
+            budget: 50,
+            probes: true,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EurekaFile {
+    urls: Vec<String>,
+    #[serde(default)]
+    apps: Vec<String>,
+    #[serde(default)]
+    vip: Option<String>,
+    #[serde(default = "defaults::poll_s")]
+    poll_s: usize,
+    #[serde(default = "defaults::timeout_s")]
+    timeout_s: usize,
+    #[serde(default = "defaults::full_s")]
+    full_s: usize,
+    #[serde(default = "defaults::yes")]
+    deltas: bool,
+    #[serde(default = "defaults::json")]
+    form: String,
+    #[serde(default)]
+    secure: bool,
+    #[serde(default)]
+    id_key: Option<String>,
+    #[serde(default)]
+    zone_key: Option<String>,
+    #[serde(default)]
+    kind_key: Option<String>,
+    #[serde(default)]
+    rack_key: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StaticFile {
+    id: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    cell: Option<u32>,
+}
+
+/// Where a registry is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RegistryUrl {
+    pub addr: SocketAddr,
+    /// Its service path, without a slash at its end.
+    pub path: String,
+}
+
+impl RegistryUrl {
+    fn read(text: &str) -> Result<Self, String> {
+        let wrong = |what: &str| format!("'{text}': {what}");
+        let rest = text
+            .strip_prefix("http://")
+            .ok_or_else(|| wrong("want http://ADDRESS:PORT/PATH"))?;
+        let (addr, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+        let addr = addr
+            .parse()
+            .map_err(|_| wrong("want an address with a port: no names are looked up"))?;
+        if !path.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(wrong("want a plain path"));
+        }
+        Ok(RegistryUrl {
+            addr,
+            path: path.trim_end_matches('/').to_owned(),
+        })
+    }
+}
+
+/// A Eureka registry as a source of workers.
+#[derive(Clone, Debug)]
+pub struct EurekaConfig {
+    /// The registries, the first asked first.
+    pub urls: Vec<RegistryUrl>,
+    pub apps: Vec<String>,
+    pub vip: Option<String>,
+    pub poll: Micros,
+    pub timeout: Micros,
+    pub full: Micros,
+    pub deltas: bool,
+    pub form: Form,
+    pub keys: Keys,
+}
+
+/// What an operator has set for this site, besides what the platform tells. Without a file, nothing of it is on.
+#[derive(Default)]
+pub struct SiteConfig {
+    pub submission: Option<SubmissionConfig>,
+    pub guard: Guard,
+    pub eureka: Option<EurekaConfig>,
+    /// Workers that are always there.
+    pub statics: Vec<Word>,
+}
+
+impl SiteConfig {
+    /// Reads and checks the operator file.
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let (source, text) = file(path)?;
+        let read: SiteFile = toml_of(&source, &text)?;
+        if let Some(front) = &read.submission {
+            front.check(&format!("{source}: submission"))?;
+        }
+        let guard = read.membership;
         let wanted = [
-            ("max_line", config.max_line, 1024, 160 * 1024),
-            ("max_jobs", config.max_jobs, 1, 262_144),
-            ("max_bytes", config.max_bytes, 1024, 256 * 1024 * 1024),
-            ("max_bulk", config.max_bulk, 1, 65_536),
-            ("max_sessions", config.max_sessions, 1, 4096),
-            ("history", config.history, 16, 65_536),
-            ("max_submitters", config.max_submitters, 1, 256),
-            ("retain_s", config.retain_s as usize, 1, 86_400),
-            ("hold_s", config.hold_s as usize, 1, 604_800),
-            ("session_s", config.session_s as usize, 1, 604_800),
+            ("keep_s", guard.keep_s, 1, 86_400),
+            ("stale_s", guard.stale_s, 1, 86_400),
+            ("probe_s", guard.probe_s, 1, 3600),
+            ("fails", guard.fails, 1, 100),
+            ("budget", guard.budget, 1, 10_000),
         ];
-        for (key, value, least, most) in wanted {
-            if !(least..=most).contains(&value) {
-                return err(
-                    format!("{source}: {key}"),
-                    format_args!("want {least} to {most}"),
-                );
+        within(&format!("{source}: membership"), &wanted)?;
+        let eureka = read
+            .eureka
+            .map(|file| file.check(&format!("{source}: eureka")));
+        let secs = |s: usize| Micros(s as u64 * 1_000_000);
+        let mut statics = Vec::new();
+        for (at, file) in read.statics.into_iter().enumerate() {
+            let key = format!("{source}: static[{at}]");
+            if file.id.is_empty() || statics.iter().any(|word: &Word| word.id == file.id) {
+                return err(format!("{key}.id"), "want an id that no other has");
             }
+            let addr = address((format!("{key}.address"), file.address))?;
+            statics.push(Word {
+                id: file.id,
+                addr: Some(addr),
+                status: Status::Up,
+                zone: file.zone,
+                kind: file.kind,
+                cell: file.cell.map(CellId),
+                ..Word::default()
+            });
         }
-        Ok(config)
+        Ok(SiteConfig {
+            submission: read.submission,
+            guard: Guard {
+                keep: secs(guard.keep_s),
+                stale: secs(guard.stale_s),
+                probe: secs(guard.probe_s),
+                fails: guard.fails as u32,
+                budget: guard.budget,
+                probes: guard.probes,
+            },
+            eureka: eureka.transpose()?,
+            statics,
+        })
+    }
+}
+
+impl EurekaFile {
+    fn check(self, source: &str) -> Result<EurekaConfig, ConfigError> {
+        let wanted = [
+            ("poll_s", self.poll_s, 1, 3600),
+            ("timeout_s", self.timeout_s, 1, 600),
+            ("full_s", self.full_s, 1, 86_400),
+        ];
+        within(source, &wanted)?;
+        let mut urls = Vec::new();
+        for (at, url) in self.urls.iter().enumerate() {
+            match RegistryUrl::read(url) {
+                Ok(url) => urls.push(url),
+                Err(what) => return err(format!("{source}: urls[{at}]"), what),
+            }
+        }
+        if urls.is_empty() {
+            return err(format!("{source}: urls"), "want one or more");
+        }
+        if urls.iter().any(|url| url.path != urls[0].path) {
+            return err(
+                format!("{source}: urls"),
+                "want the same path for all of them",
+            );
+        }
+        let plain = |word: &String| !word.is_empty() && word.bytes().all(|b| b.is_ascii_graphic());
+        if self.vip.as_ref().is_some_and(|vip| !plain(vip)) {
+            return err(format!("{source}: vip"), "want a plain word");
+        }
+        let form = match self.form.as_str() {
+            "json" => Form::Json,
+            "xml" => Form::Xml,
+            _ => return err(format!("{source}: form"), "want json or xml"),
+        };
+        let secs = |s: usize| Micros(s as u64 * 1_000_000);
+        Ok(EurekaConfig {
+            urls,
+            apps: self.apps,
+            vip: self.vip,
+            poll: secs(self.poll_s),
+            timeout: secs(self.timeout_s),
+            full: secs(self.full_s),
+            deltas: self.deltas,
+            form,
+            keys: Keys {
+                id: self.id_key,
+                zone: self.zone_key,
+                kind: self.kind_key,
+                rack: self.rack_key,
+                secure: self.secure,
+            },
+        })
     }
 }
--- a/node/src/directory/mod.rs
+++ b/node/src/directory/mod.rs
@@ -8,7 +8,7 @@
 use marbledeck::{CellId, ListKind, Micros};
 use marbledeck_membership::{Membership, SourceId, Status, Told, Word};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// How long a watch waits for a change. A silent directory is noticed after this and [`GRACE`].
@@ -47,6 +47,27 @@
     pub up_since_ms: u64,
 }
 
+/// The words that members stand for.
+pub fn words(members: Vec<Member>) -> Vec<Word> {
+    members.into_iter().map(|member| member.word().0).collect()
+}
+
+/// The words of all other sources, for another process of this node: as many as are surely handed on.
+pub fn others(members: &Membership) -> BTreeMap<String, Vec<Member>> {
+    const MOST: usize = 4000;
+    let sources = members.source_names();
+    let told = sources
+        .into_iter()
+        .filter(|(_, name)| *name != "directory" && *name != "static");
+    told.map(|(source, name)| {
+        (
+            name.to_owned(),
+            members.words(source).take(MOST).map(Member::of).collect(),
+        )
+    })
+    .collect()
+}
+
 /// What another process of this node can start from.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Bequest {
--- /dev/null
+++ b/node/src/eureka/mod.rs
@@ -0,0 +1,249 @@
+//! The link to a Eureka registry: asks what `marbledeck-eureka` wants asked, hands it the answers as they come, and tells
+//! the membership of what it finds, a bounded part of it in each turn.
+
+use crate::config::EurekaConfig;
+use crate::fleet::Fleet;
+use crate::net::http::{self, Body, ResponseHead};
+use crate::net::{Net, Peer, Ready, Token};
+use crate::party::{Hub, Party};
+use marbledeck::Micros;
+use marbledeck_eureka::{Change, Encoding, Form, Poll, Settings};
+use marbledeck_membership::{SourceId, Told};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// Changes of single workers told in a turn, and workers looked at for being missing.
+const CHANGES: usize = 200;
+const SWEPT: usize = 500;
+/// The longest answer, packed or not.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// What is being asked.
+struct Call {
+    number: u64,
+    token: Token,
+    head: Option<(ResponseHead, Body)>,
+}
+
+pub struct Eureka {
+    source: SourceId,
+    poll: Poll,
+    registries: Vec<SocketAddr>,
+    form: Form,
+    peer: Peer,
+    call: Option<Call>,
+    /// What the membership is still to be told.
+    backlog: VecDeque<Change>,
+    /// How far the search for missing workers has come, while it is on.
+    sweep: Option<Option<String>>,
+    /// What was last said of trouble: each is logged once.
+    said: Option<String>,
+}
+
+impl Eureka {
+    pub fn new(config: EurekaConfig, source: SourceId, peer: Peer, now: Micros, seed: u64) -> Self {
+        let registries: Vec<SocketAddr> = config.urls.iter().map(|url| url.addr).collect();
+        let settings = Settings {
+            registries: registries.len(),
+            path: config
+                .urls
+                .first()
+                .map_or(String::new(), |url| url.path.clone()),
+            apps: config.apps,
+            vip: config.vip,
+            keys: config.keys,
+            every: config.poll,
+            timeout: config.timeout,
+            full: config.full,
+            deltas: config.deltas,
+        };
+        Eureka {
+            source,
+            poll: Poll::new(settings, now, seed),
+            registries,
+            form: config.form,
+            peer,
+            call: None,
+            backlog: VecDeque::new(),
+            sweep: None,
+            said: None,
+        }
+    }
+
+    /// Asks what is to be asked now.
+    fn ask(&mut self, now: Micros, net: &mut Net) {
+        while let Some(ask) = self.poll.ask(now) {
+            // One that took too long was given up by that.
+            if let Some(call) = self.call.take() {
+                net.close(call.token);
+            }
+            let addr = self.registries[ask.registry];
+            let token = match net.connect(addr, self.peer) {
+                Ok(token) => token,
+                Err(e) => {
+                    self.poll.failed(now, ask.number, &e.to_string());
+                    continue;
+                }
+            };
+            let accept = match self.form {
+                Form::Json => "application/json",
+                Form::Xml => "application/xml",
+            };
+            let request = format!(
+                "GET {} HTTP/1.1\r\nHost: {addr}\r\nAccept: {accept}\r\nAccept-Encoding: gzip\r\n\
+                 Connection: close\r\n\r\n",
+                ask.path
+            );
+            // A new connection holds a request.
+            let _ = net.write(token, request.as_bytes());
+            self.call = Some(Call {
+                number: ask.number,
+                token,
+                head: None,
+            });
+        }
+        if self.said != self.poll.trouble {
+            self.said.clone_from(&self.poll.trouble);
+            match &self.said {
+                Some(trouble) => log::warn!("eureka: {trouble}"),
+                None => log::info!("eureka: {} instances", self.poll.instances()),
+            }
+        }
+    }
+
+    fn read(&mut self, now: Micros, token: Token, net: &mut Net) {
+        let (Some(call), Some(conn)) = (&mut self.call, net.get(token)) else {
+            return;
+        };
+        let number = call.number;
+        if call.head.is_none() {
+            match http::response_head(conn.input.all()) {
+                Ok(None) => {}
+                Ok(Some((head, used))) => {
+                    conn.input.consume(used);
+                    let gzip = head.fields.get("Content-Encoding") == Some("gzip");
+                    let encoding = if gzip {
+                        Encoding::Gzip
+                    } else {
+                        Encoding::Plain
+                    };
+                    let form = match head.fields.get("Content-Type") {
+                        Some(kind) if kind.contains("xml") => Form::Xml,
+                        Some(kind) if kind.contains("json") => Form::Json,
+                        _ => self.form,
+                    };
+                    self.poll.head(now, number, head.status, form, encoding);
+                    match Body::of_long_response(&head, MAX_ANSWER) {
+                        Ok(body) => call.head = Some((head, body)),
+                        Err(e) => return self.fail(now, &e.to_string(), net),
+                    }
+                }
+                Err(e) => return self.fail(now, &e.to_string(), net),
+            }
+        }
+        let mut over = false;
+        if let Some((_, body)) = &mut call.head {
+            let mut content = Vec::new();
+            match body.take(conn.input.all(), &mut content) {
+                Ok(used) => conn.input.consume(used),
+                Err(e) => return self.fail(now, &e.to_string(), net),
+            }
+            self.poll.bytes(now, number, &content);
+            over = body.is_done() || conn.eof && body.ends_with_connection();
+        }
+        let broken = conn.eof || conn.broken;
+        if over {
+            self.poll.end(now, number);
+            self.close(net);
+        } else if broken {
+            self.fail(now, "the connection broke", net);
+        }
+        self.backlog.extend(self.poll.take_changes());
+    }
+
+    fn fail(&mut self, now: Micros, why: &str, net: &mut Net) {
+        if let Some(call) = &self.call {
+            self.poll.failed(now, call.number, why);
+        }
+        self.close(net);
+    }
+
+    fn close(&mut self, net: &mut Net) {
+        if let Some(call) = self.call.take() {
+            net.close(call.token);
+        }
+    }
+
+    /// Tells the membership some of what was found.
+    fn tell(&mut self, now: Micros, fleet: &mut Fleet) -> Told {
+        let (mut told, mut changes) = (Told::default(), 0);
+        if let Some(after) = self.sweep.take() {
+            let (missing, next) = fleet
+                .members
+                .sweep(now, self.source, after.as_deref(), SWEPT);
+            self.sweep = next.map(Some);
+            told.and(missing);
+            return told;
+        }
+        while changes < CHANGES {
+            let Some(change) = self.backlog.pop_front() else {
+                break;
+            };
+            changes += 1;
+            let members = &mut fleet.members;
+            told.and(match change {
+                Change::Begin => {
+                    members.begin(self.source);
+                    Told::default()
+                }
+                Change::Part(words) => {
+                    // A part is a turn's work.
+                    changes = CHANGES;
+                    members.part(now, self.source, words)
+                }
+                Change::End => {
+                    self.sweep = Some(None);
+                    break;
+                }
+                Change::Named(word) => members.change(now, self.source, *word),
+                Change::Removed { id, explicit } => members.remove(now, self.source, &id, explicit),
+            });
+        }
+        told
+    }
+}
+
+impl Party for Eureka {
+    fn name(&self) -> &'static str {
+        "eureka"
+    }
+
+    fn ready(&mut self, now: Micros, event: Ready, hub: &mut Hub) {
+        let ours = self
+            .call
+            .as_ref()
+            .is_some_and(|call| call.token == event.token);
+        match ours {
+            true => {
+                self.read(now, event.token, &mut hub.net);
+                self.ask(now, &mut hub.net);
+            }
+            false => hub.net.close(event.token),
+        }
+    }
+
+    fn next_wake(&self) -> Option<Micros> {
+        let busy = !self.backlog.is_empty() || self.sweep.is_some();
+        match busy {
+            true => Some(Micros(0)),
+            false => Some(self.poll.next_wake()),
+        }
+    }
+
+    fn wake(&mut self, now: Micros, hub: &mut Hub) {
+        self.ask(now, &mut hub.net);
+        self.backlog.extend(self.poll.take_changes());
+        let told = self.tell(now, &mut hub.fleet);
+        hub.fleet.changed(now, told, &mut hub.core);
+    }
+}
--- a/node/src/fleet.rs
+++ b/node/src/fleet.rs
@@ -2,6 +2,8 @@
 //! the core.
 
 use crate::core::Core;
+use crate::net::Net;
+use crate::workers::Workers;
 use marbledeck::{ListKind, Micros, WorkerId};
 use marbledeck_membership::{Membership, Place, Told};
 
@@ -37,6 +39,21 @@
         self.members.place(worker)
     }
 
+    /// Takes in what the links have seen of workers, looks at the doubtful ones, and has them asked.
+    pub fn wake(&mut self, now: Micros, workers: &mut Workers, net: &mut Net, core: &mut Core) {
+        let mut told = Told::default();
+        for (worker, sign) in std::mem::take(&mut workers.signs) {
+            told.and(self.members.sign(now, worker, sign));
+        }
+        if self.members.next_wake().is_some_and(|at| at <= now) {
+            told.and(self.members.wake(now));
+        }
+        for worker in self.members.take_probes() {
+            workers.look(now, worker, self.members.place(worker), net);
+        }
+        self.changed(now, told, core);
+    }
+
     /// Takes a worker out by hand, or calls it back, whatever any source has told or will tell of it meanwhile.
     pub fn set_out(&mut self, now: Micros, id: &str, out: bool, core: &mut Core) {
         let told = self.members.set_out(id, out);
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod consumers;
 pub mod core;
 mod directory;
+mod eureka;
 mod fleet;
 mod handover;
 pub mod logger;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,11 +4,11 @@
 
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use marbledeck_cli::{Common, JobCommand, NodeCommand, SessionCommand};
-use marbledeck_node::config::{Config, SubmissionConfig};
+use marbledeck_node::config::{Config, SiteConfig, SubmissionConfig};
 use marbledeck_node::logger;
 use marbledeck_node::node::{Node, Signals};
 use std::error::Error;
-use std::io;
+use std::io::{self, Write};
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -33,6 +33,9 @@
     /// The file of the front for batch submission, which is off without it
     #[arg(long, value_name = "FILE")]
     submission: Option<PathBuf>,
+    /// The operator file: submission, membership, Eureka, static workers
+    #[arg(long, value_name = "FILE", conflicts_with = "submission")]
+    site: Option<PathBuf>,
 }
 
 #[derive(Subcommand)]
@@ -52,10 +55,25 @@
     Machines(Common),
     /// What the submission front supports and what not
     Capabilities(Common),
+    /// The operator file
+    #[command(subcommand)]
+    Config(ConfigCommand),
+    /// Each worker, and which source says what of it, from a node's operators' address
+    Members {
+        /// Where the node answers operators
+        #[arg(env = "LB_OPS", value_name = "HOST:PORT")]
+        ops: String,
+    },
     /// Print the completions for a shell
     Completions { shell: clap_complete::Shell },
 }
 
+#[derive(Subcommand)]
+enum ConfigCommand {
+    /// Read and check an operator file, and say what is wrong with it
+    Check { file: PathBuf },
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let served = match arguments.command {
@@ -70,6 +88,12 @@
         Some(Command::Capabilities(common)) => {
             return marbledeck_cli::node(NodeCommand::Capabilities(common))
         }
+        Some(Command::Config(ConfigCommand::Check { file })) => {
+            let read = SiteConfig::read(&file);
+            read.map(|_| println!("{}: nothing is wrong", file.display()))
+                .map_err(Into::into)
+        }
+        Some(Command::Members { ops }) => members(&ops).map_err(Into::into),
         Some(Command::Completions { shell }) => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "marbledeck", &mut io::stdout());
@@ -86,8 +110,15 @@
 }
 
 fn serve(how: Serve) -> Result<(), Box<dyn Error>> {
-    let submission = how.submission.as_deref().map(SubmissionConfig::read);
-    let submission = submission.transpose()?;
+    let mut site = how
+        .site
+        .as_deref()
+        .map(SiteConfig::read)
+        .transpose()?
+        .unwrap_or_default();
+    if let Some(file) = &how.submission {
+        site.submission = Some(SubmissionConfig::read(file)?);
+    }
     // Before all else: a signal that comes while the node starts is neither lost nor its end.
     let signals = Signals {
         end: pipe(signal_hook::consts::SIGTERM)?,
@@ -96,10 +127,17 @@
     let read = || Config::read(|name| std::env::var(name).ok());
     let config = read()?;
     logger::start(config.log);
-    Node::new(config, submission, signals, Box::new(read))?.run();
+    Node::new(config, site, signals, Box::new(read))?.run();
     Ok(())
 }
 
+/// Asks a node's operators' address for its workers.
+fn members(ops: &str) -> io::Result<()> {
+    let mut stream = std::net::TcpStream::connect(ops)?;
+    stream.write_all(b"members\n")?;
+    io::copy(&mut stream, &mut io::stdout()).map(drop)
+}
+
 /// The reading end of a pipe that gets a byte at each such signal.
 fn pipe(signal: i32) -> io::Result<UnixStream> {
     let (reader, writer) = UnixStream::pair()?;
--- a/node/src/net/http.rs
+++ b/node/src/net/http.rs
@@ -199,31 +199,39 @@
     /// The bytes of a line that has not wholly come.
     line: Vec<u8>,
     taken: usize,
+    /// The most bytes that it may have.
+    most: usize,
 }
 
 impl Body {
-    fn new(part: Part) -> Self {
+    fn new(part: Part, most: usize) -> Self {
         Body {
             part,
             line: Vec::new(),
             taken: 0,
+            most,
         }
     }
 
     /// The body of a request with these fields.
     pub fn of_request(fields: &Fields) -> Result<Self, Fault> {
-        Body::of(fields, Part::Length(0))
+        Body::of(fields, Part::Length(0), MAX_BODY)
     }
 
     /// The body of an answer with this head.
     pub fn of_response(head: &ResponseHead) -> Result<Self, Fault> {
+        Body::of_long_response(head, MAX_BODY)
+    }
+
+    /// The same, of a peer whose answers may be longer, but not than this.
+    pub fn of_long_response(head: &ResponseHead, most: usize) -> Result<Self, Fault> {
         if matches!(head.status, 204 | 304) {
-            return Ok(Body::new(Part::Done));
+            return Ok(Body::new(Part::Done, most));
         }
-        Body::of(&head.fields, Part::ToClose)
+        Body::of(&head.fields, Part::ToClose, most)
     }
 
-    fn of(fields: &Fields, otherwise: Part) -> Result<Self, Fault> {
+    fn of(fields: &Fields, otherwise: Part, most: usize) -> Result<Self, Fault> {
         let coded = fields.all("Transfer-Encoding").count();
         let mut lengths = fields.all("Content-Length");
         let length = lengths.next();
@@ -236,21 +244,21 @@
             let chunked = fields.get("Transfer-Encoding");
             let chunked = chunked.is_some_and(|c| c.eq_ignore_ascii_case("chunked"));
             return match chunked {
-                true => Ok(Body::new(Part::ChunkSize)),
+                true => Ok(Body::new(Part::ChunkSize, most)),
                 false => Err(Fault::Malformed("an unknown transfer coding")),
             };
         }
         let Some(length) = length else {
-            return Ok(Body::new(otherwise));
+            return Ok(Body::new(otherwise, most));
         };
         if length.is_empty() || !length.bytes().all(|b| b.is_ascii_digit()) {
             return Err(Fault::Malformed("a malformed Content-Length"));
         }
         let length = length.parse().map_err(|_| Fault::BodyTooLong)?;
-        if length > MAX_BODY {
+        if length > most {
             return Err(Fault::BodyTooLong);
         }
-        Ok(Body::new(Part::Length(length)))
+        Ok(Body::new(Part::Length(length), most))
     }
 
     /// The most bytes that it can still have.
@@ -258,7 +266,7 @@
         match self.part {
             Part::Length(n) => n,
             Part::Done => 0,
-            _ => MAX_BODY,
+            _ => self.most,
         }
     }
 
@@ -300,7 +308,7 @@
 
     fn content(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<usize, Fault> {
         self.taken += bytes.len();
-        if self.taken > MAX_BODY {
+        if self.taken > self.most {
             return Err(Fault::BodyTooLong);
         }
         out.extend_from_slice(bytes);
@@ -334,7 +342,7 @@
             _ => {
                 // Trailers are dropped, but not without end.
                 self.taken += line.len() + 2;
-                if self.taken > MAX_BODY {
+                if self.taken > self.most {
                     return Err(Fault::BodyTooLong);
                 }
                 Part::Trailer
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,10 +1,11 @@
 //! The node: the core with its fronts and links round one loop.
 
 use crate::clock::{millis, Clock};
-use crate::config::{Config, ConfigError, SubmissionConfig};
+use crate::config::{Config, ConfigError, SiteConfig};
 use crate::consumers::Consumers;
 use crate::core::{Command, Core};
 use crate::directory::{self, Directory};
+use crate::eureka::Eureka;
 use crate::fleet::Fleet;
 use crate::handover::{self, Handover, News, Side, Word};
 use crate::net::{Net, Peer, Ready, Token};
@@ -17,6 +18,7 @@
 use marbledeck_membership::Membership;
 use rustix::fd::OwnedFd;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -85,6 +87,9 @@
     /// Its parties.
     #[serde(default)]
     parties: Vec<String>,
+    /// The words of its other sources.
+    #[serde(default)]
+    sources: BTreeMap<String, Vec<directory::Member>>,
 }
 
 /// What the processes of this node may hold together.
@@ -127,15 +132,11 @@
 
 impl Node {
     /// Listens, and starts from the list that the configuration has; SIGHUP reads it anew through `read`.
-    pub fn new(
-        config: Config,
-        submission: Option<SubmissionConfig>,
-        signals: Signals,
-        read: Read,
-    ) -> io::Result<Self> {
+    pub fn new(config: Config, site: SiteConfig, signals: Signals, read: Read) -> io::Result<Self> {
         let clock = Clock::start();
         let now = clock.now();
         let mut net = Net::new()?;
+        let submission = site.submission;
         let spared = submission.as_ref().map_or(0, |front| front.max_submitters);
         let limits = Limits::of(&config, spared);
         let core = Core::new(config.settings, config.catalogue, config.seed, now);
@@ -178,7 +179,7 @@
         if let Some(ops) = &ops {
             log::info!("{} answers operators at {}", config.name, ops.addr);
         }
-        let workers = Workers::new(Figures {
+        let mut workers = Workers::new(Figures {
             reads: config.reads,
             reports: config.reports,
             idle: config.idle,
@@ -197,8 +198,27 @@
             }
             None => config.known.unwrap_or_default(),
         };
+        let fixed = (!site.statics.is_empty()).then(|| members.add_source("static", None));
+        if let Some(eureka) = site.eureka {
+            let source = members.add_source("eureka", Some(site.guard));
+            let peer = Peer::Party(parties.len() as u8);
+            let link = Eureka::new(eureka, source, peer, now, config.seed);
+            parties.push(Box::new(link));
+        }
+        workers.wants_signs = members.is_guarded();
         let mut fleet = Fleet::new(members);
         directory.known(now, known, &mut fleet, &mut core);
+        if let Some(source) = fixed {
+            let told = fleet.members.list(now, source, site.statics);
+            fleet.changed(now, told, &mut core);
+        }
+        // What other sources had said to the process that this one replaces, until they say it anew.
+        for (name, list) in bequest.sources {
+            if let Some(source) = fleet.members.source(&name) {
+                let told = fleet.members.list(now, source, directory::words(list));
+                fleet.changed(now, told, &mut core);
+            }
+        }
         let link = link.map(|link| net.join(link.into(), Peer::Partner));
         let path = config.handover.as_deref();
         let mut handover = Handover::new(path, link.transpose()?, &mut net);
@@ -271,6 +291,7 @@
             self.hub.core.next_wake(),
             self.hub.workers.next_wake(),
             self.hub.directory.next_wake(),
+            self.hub.fleet.members.next_wake(),
             self.consumers.next_wake(),
             self.ops.as_ref().and_then(Ops::next_wake),
             self.ending,
@@ -289,10 +310,11 @@
             core,
             workers,
             directory,
-            ..
+            fleet,
         } = &mut self.hub;
         workers.wake(now, net, core);
         directory.wake(now, net, core);
+        fleet.wake(now, workers, net, core);
         self.consumers.wake(now, net);
         for party in &mut self.parties {
             party.wake(now, &mut self.hub);
@@ -383,6 +405,13 @@
                 }
                 return;
             }
+            Call::Members => {
+                let text = ops::members(&self.hub.fleet.members.views(now));
+                if let Some(ops) = &mut self.ops {
+                    ops.say(caller, &text, &mut self.hub.net);
+                }
+                return;
+            }
             Call::SetDown(id) => self.set_out(now, id, true),
             Call::SetUp(id) => self.set_out(now, id, false),
         };
@@ -446,6 +475,7 @@
                 let bequest = Bequest {
                     fleet: self.hub.directory.bequest(&self.hub.fleet.members),
                     parties: self.parties.iter().map(|p| p.name().to_owned()).collect(),
+                    sources: directory::others(&self.hub.fleet.members),
                 };
                 // What was told to one that came before is told to this one anew.
                 self.heirs.clear();
--- a/node/src/ops/figures.rs
+++ b/node/src/ops/figures.rs
@@ -2,8 +2,36 @@
 //! where they end and calls where they are written.
 
 use crate::core::Core;
+use marbledeck::State;
+use marbledeck_membership::View;
 use std::fmt::Write;
 
+/// Each worker in a line: in or out, where it is, why, and what each source says and how many seconds ago it did. As
+/// much as fits an answer; the last line tells how many there are.
+pub fn members(views: &[View]) -> String {
+    const MOST: usize = 120 * 1024;
+    let (mut text, mut shown) = (String::new(), 0);
+    for view in views {
+        if text.len() > MOST {
+            break;
+        }
+        let word = match view.state {
+            State::Ready => "in",
+            State::Draining => "out",
+            State::Gone => "gone",
+        };
+        let addr = view.addr.map_or("-".to_owned(), |addr| addr.to_string());
+        let _ = write!(text, "{} {word} {addr} ({})", view.id, view.why);
+        for (source, status, age) in &view.words {
+            let _ = write!(text, "; {source}: {status}, {} s", age.0 / 1_000_000);
+        }
+        text.push('\n');
+        shown += 1;
+    }
+    let _ = writeln!(text, "-- {shown} of {}", views.len());
+    text
+}
+
 /// The figures, and the line that ends them. `listed` workers are in the list, `avoided` of them get nothing now.
 pub fn text(core: &Core, listed: usize, avoided: usize) -> String {
     let mut text = String::new();
--- a/node/src/ops/mod.rs
+++ b/node/src/ops/mod.rs
@@ -6,7 +6,7 @@
 
 mod figures;
 
-pub use figures::text as figures;
+pub use figures::{members, text as figures};
 
 use crate::clock::millis;
 use crate::net::{Net, Peer, Token};
@@ -32,6 +32,8 @@
     /// Whether this process can serve.
     Check,
     Vars,
+    /// Each worker, and which source says what of it.
+    Members,
     /// Take this worker out.
     SetDown(String),
     /// This worker may serve again.
@@ -46,10 +48,11 @@
         match words[..] {
             ["check"] => Ok(Call::Check),
             ["vars"] => Ok(Call::Vars),
+            ["members"] => Ok(Call::Members),
             ["set-down", id] => Ok(Call::SetDown(id.to_owned())),
             ["set-up", id] => Ok(Call::SetUp(id.to_owned())),
             ["set-down" | "set-up", ..] => Err("want the id of one render worker"),
-            _ => Err("unknown call; known: check, vars, set-down ID, set-up ID"),
+            _ => Err("unknown call; known: check, vars, members, set-down ID, set-up ID"),
         }
     }
 }
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -10,7 +10,7 @@
 use crate::net::{Net, Peer, Token};
 use marbledeck::{Micros, Outcome, Report, RequestId, WorkerId};
 use marbledeck_facts::Reads;
-use marbledeck_membership::Place;
+use marbledeck_membership::{Place, Sign};
 use outcomes::{Answer, End, News};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use submitted::Submitted;
@@ -32,6 +32,8 @@
 enum Errand {
     Call(RequestId, u32),
     Probe,
+    /// Asks whether a doubtful worker is there.
+    Look,
     /// Decided, but not wholly read.
     Tail,
     Idle,
@@ -122,6 +124,9 @@
     distrust: Micros,
     /// What each worker told last of its load.
     told: HashMap<WorkerId, (Micros, Report)>,
+    /// Whether anybody wants to know which workers are there, and what shows it.
+    pub wants_signs: bool,
+    pub signs: Vec<(WorkerId, Sign)>,
 }
 
 impl Workers {
@@ -135,9 +140,44 @@
             due: BTreeSet::new(),
             distrust: Micros(0),
             told: HashMap::new(),
+            wants_signs: false,
+            signs: Vec::new(),
         }
     }
 
+    /// Asks whether a doubtful worker is there; the answer is a [sign](Workers::signs). One that is spoken to by
+    /// submission cannot be asked.
+    pub fn look(&mut self, now: Micros, worker: WorkerId, place: Option<&Place>, net: &mut Net) {
+        if self.figures.by_submission.contains(&worker) {
+            return;
+        }
+        let sent = place.is_some_and(|place| {
+            let bytes = outcomes::probe(&place.addr.to_string(), false);
+            let speech = Speech::Http(Answer::new(None, self.figures.reads));
+            let link = Link::new(worker, Errand::Look, speech, now);
+            self.say(now, place, link, &bytes, net)
+        });
+        if !sent {
+            self.signs.push((worker, Sign::Death));
+        }
+    }
+
+    /// Notes what the end of a call or of a look shows of a worker.
+    fn note_sign(&mut self, worker: WorkerId, errand: Errand, outcome: Outcome) {
+        if !self.wants_signs {
+            return;
+        }
+        let sign = match (errand, outcome) {
+            (Errand::Tail | Errand::Idle, _) => return,
+            (_, Outcome::Ok | Outcome::Full | Outcome::Error) => Sign::Life,
+            (_, Outcome::ConnectFailed) => Sign::Death,
+            (Errand::Look | Errand::Probe, _) => Sign::Death,
+            // What broke or was given up may have many reasons.
+            _ => return,
+        };
+        self.signs.push((worker, sign));
+    }
+
     /// What a worker told last of its load, and when.
     pub fn told(&self, worker: WorkerId) -> Option<(Micros, Report)> {
         self.told.get(&worker).copied()
@@ -249,7 +289,7 @@
         let connecting = net.get(token).is_some_and(|conn| conn.is_connecting());
         let due = match link.errand {
             _ if connecting => Some(now + self.figures.connect_timeout),
-            Errand::Probe => Some(now + PROBE),
+            Errand::Probe | Errand::Look => Some(now + PROBE),
             _ => None,
         };
         if let Errand::Call(id, attempt) = link.errand {
@@ -310,7 +350,7 @@
                         idle.retain(|t| *t != token);
                     }
                 }
-                Errand::Probe | Errand::Tail => {}
+                Errand::Probe | Errand::Look | Errand::Tail => {}
             }
         }
         net.close(token);
@@ -343,9 +383,12 @@
         let mut waits = |token: &Token| net.get(*token).is_some_and(|conn| conn.is_connecting());
         let links = self.links.iter().filter(|(_, l)| l.worker == worker);
         let tokens: Vec<Token> = links.map(|(t, _)| *t).filter(|t| waits(t)).collect();
+        // That they are not made shows nothing of the worker.
+        let wants = std::mem::take(&mut self.wants_signs);
         for token in tokens {
             self.broke(now, token, Outcome::ConnectFailed, net, core);
         }
+        self.wants_signs = wants;
     }
 
     /// Closes all idle connections, and keeps none for a while.
@@ -398,7 +441,7 @@
                         .map(|span| now + Micros(SILENT * span.0))
                 }
                 Errand::Call(..) => None,
-                Errand::Probe => Some(link.sent + PROBE),
+                Errand::Probe | Errand::Look => Some(link.sent + PROBE),
                 Errand::Tail | Errand::Idle => link.due,
             };
             self.set_due(token, due);
@@ -460,6 +503,7 @@
     }
 
     fn end(&mut self, now: Micros, worker: WorkerId, errand: Errand, end: End, core: &mut Core) {
+        self.note_sign(worker, errand, end.outcome);
         if let Some(report) = end.report {
             self.told.insert(worker, (now, report));
         }
@@ -469,7 +513,7 @@
                 core.call_ended(now, id, attempt, end.outcome, end.result, end.report);
             }
             Errand::Probe => core.probed(now, worker, end.outcome, end.report),
-            Errand::Tail | Errand::Idle => {}
+            Errand::Look | Errand::Tail | Errand::Idle => {}
         }
     }
 
--- a/node/tests/config.rs
+++ b/node/tests/config.rs
@@ -1,6 +1,6 @@
 //! Faulty configuration: every message names the key.
 
-use marbledeck_node::config::{Config, SubmissionConfig};
+use marbledeck_node::config::{Config, SiteConfig, SubmissionConfig};
 use rstest::rstest;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -98,3 +98,76 @@
     fs::remove_file(&short).unwrap();
     assert_eq!(SubmissionConfig::read(&path), defaults);
 }
+
+#[rstest]
+#[case("[submision]", "unknown field `submision`")]
+#[case(
+    "[submission]\nlisten = \"127.0.0.1:0\"\nhistory = 1",
+    "submission: history: want 16 to 65536"
+)]
+#[case("[membership]\nkeep_s = 0", "membership: keep_s: want 1 to 86400")]
+#[case("[membership]\nkeep = 5", "membership.keep: unknown field `keep`")]
+#[case("[eureka]\nurls = []", "eureka: urls: want one or more")]
+#[case("[eureka]\napps = []", "eureka: missing field `urls`")]
+#[case(
+    "[eureka]\nurls = [\"https://127.0.0.1:1\"]",
+    "eureka: urls[0]: 'https://127.0.0.1:1': want http://"
+)]
+#[case(
+    "[eureka]\nurls = [\"http://registry:8761\"]",
+    "no names are looked up"
+)]
+#[case(
+    "[eureka]\nurls = [\"http://127.0.0.1:1/a\", \"http://127.0.0.1:2/b\"]",
+    "the same path"
+)]
+#[case(
+    "[eureka]\nurls = [\"http://127.0.0.1:1\"]\nform = \"yaml\"",
+    "eureka: form: want json or xml"
+)]
+#[case(
+    "[eureka]\nurls = [\"http://127.0.0.1:1\"]\nvip = \"a b\"",
+    "eureka: vip: want a plain word"
+)]
+#[case(
+    "[[static]]\nid = \"w\"\naddress = \"here\"",
+    "static[0].address: 'here' is no address"
+)]
+#[case(
+    "[[static]]\nid = \"\"\naddress = \"127.0.0.1:1\"",
+    "static[0].id: want an id"
+)]
+fn a_faulty_site(#[case] text: &str, #[case] message: &str) {
+    let path = written(&format!("site-{message}"), text);
+    let error = SiteConfig::read(&path).err().expect("faulty").to_string();
+    fs::remove_file(&path).unwrap();
+    let own = path.display().to_string();
+    assert!(
+        error.starts_with(&own) && error.contains(message),
+        "{error}"
+    );
+}
+
+/// The file of the repository is off in all its parts, and with all comments taken away it is right, with the defaults
+/// that it shows.
+#[test]
+fn the_site_of_the_repository() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/site.toml");
+    let site = SiteConfig::read(&path).unwrap();
+    assert!(site.submission.is_none() && site.eureka.is_none() && site.statics.is_empty());
+    let text = fs::read_to_string(&path).unwrap();
+    let plain = |line: &str| match line.strip_prefix('#') {
+        Some(rest) if rest.starts_with('[') || rest.contains(" = ") => rest.to_owned(),
+        _ => line.to_owned(),
+    };
+    let all: Vec<String> = text.lines().map(plain).collect();
+    let path = written("whole site", &all.join("\n"));
+    let whole = SiteConfig::read(&path).unwrap();
+    fs::remove_file(&path).unwrap();
+    assert_eq!(whole.guard, site.guard);
+    let front = written("front", "listen = \"127.0.0.1:7100\"");
+    let defaults = SubmissionConfig::read(&front).unwrap();
+    fs::remove_file(&front).unwrap();
+    assert_eq!(whole.submission, Some(defaults));
+    assert!(whole.eureka.is_some() && whole.statics.len() == 1);
+}
