Keep the node's own entry in a Eureka registry; measure it, and test with a stock client

Consumers that look up a Eureka registry are to find the node, and nothing yet showed that other clients' workers are seen.

eureka/ has the lease as a state machine: register, renew, register anew on 404, DOWN and cancel at the end; over an upgrade the old process falls silent and the new one renews the same entry. [eureka.register] turns it on. A benchmark measures flips and how long the loop stands still at 100 to 10,000 instances.

Measured: the entry outlives an upgrade without a cancel and is gone after SIGTERM; a worker behind the unchanged Python client py-eureka-client registers with the stand-in, is renewed past its lease, gets work, and leaves.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 .PHONY: build demo test lint run binding conformance bench
 
-# An unchanged DRMAA binding of another language and its examples, for the tests of libdrmaa.so.
+# Unchanged clients of another language, for the tests: a DRMAA binding with its examples, and a Eureka client.
 BINDING = target/binding
 
 build:
@@ -17,7 +17,7 @@
 
 $(BINDING)/ready:
 	python3 -m venv $(BINDING)
-	$(BINDING)/bin/pip install --quiet --disable-pip-version-check setuptools drmaa==0.7.9
+	$(BINDING)/bin/pip install --quiet --disable-pip-version-check setuptools drmaa==0.7.9 py-eureka-client==0.13.3
 	$(BINDING)/bin/pip download --quiet --disable-pip-version-check --no-deps --no-binary :all: -d $(BINDING) drmaa==0.7.9
 	tar -xzf $(BINDING)/drmaa-0.7.9.tar.gz -C $(BINDING) --strip-components=1 drmaa-0.7.9/examples
 	touch $@
@@ -37,3 +37,4 @@
 # Measures the submission front on loopback, for some minutes; docs/benchmarks.md has the figures.
 bench: build
 	cargo run --release --locked -p marbledeck-lab --bin submission-bench
+	cargo run --release --locked -p marbledeck-lab --bin eureka-bench
--- a/eureka/src/lib.rs
+++ b/eureka/src/lib.rs
@@ -8,10 +8,12 @@
 
 mod instance;
 mod json;
+mod lease;
 mod poll;
 mod read;
 mod xml;
 
 pub use instance::{hash_code, Action, Instance, InstanceStatus, Keys};
+pub use lease::{Lease, LeaseAsk, LeaseSettings};
 pub use poll::{Ask, Change, Poll, Settings, What};
 pub use read::{Encoding, Fault, Form, Item, Reader};
--- /dev/null
+++ b/lab/src/bin/eureka-bench.rs
@@ -0,0 +1,178 @@
+//! Measures a node with a Eureka registry: from a status that changes there to the last job that is sent to its worker,
+//! and how long the node's loop stands still while it takes whole lists and deltas of many instances. Prints Markdown.
+
+use hdrhistogram::Histogram;
+use marbledeck_lab::{Act, Lab, Options, Registry};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+fn lab(registry: &Registry, poll_s: usize) -> Lab {
+    let site = format!(
+        "[eureka]\nurls = [\"{}\"]\npoll_s = {poll_s}\ntimeout_s = 20\nfull_s = 1\nid_key = \"worker\"\n",
+        registry.url()
+    );
+    Lab::start(Options {
+        listed: Some(0),
+        memory_mb: 512,
+        site,
+        ..Options::default()
+    })
+}
+
+/// Asks a node something small, over and over, until it is told to stop; tells how long the answers took.
+fn pulse(at: String, stop: Arc<AtomicBool>) -> std::thread::JoinHandle<Histogram<u64>> {
+    std::thread::spawn(move || {
+        let mut stream = TcpStream::connect(at).expect("the node listens");
+        stream.set_nodelay(true).expect("a socket");
+        let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
+        let (mut times, mut line) = (Histogram::new(3).expect("three digits"), String::new());
+        while !stop.load(Ordering::SeqCst) {
+            let from = Instant::now();
+            stream
+                .write_all(b"{\"op\":\"listSessions\"}\n")
+                .expect("the node reads");
+            line.clear();
+            reader.read_line(&mut line).expect("the node answers");
+            times
+                .record(from.elapsed().as_micros() as u64)
+                .expect("in range");
+            std::thread::sleep(Duration::from_micros(200));
+        }
+        times
+    })
+}
+
+/// So many instances: how long the loop stands still while a list and then deltas of them are taken.
+fn stalls(count: usize) {
+    let registry = Registry::start();
+    let nowhere: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    for n in 0..count {
+        // Starting: known, and not sent to.
+        let id = format!("i{n:05}");
+        registry.register(
+            "RENDER",
+            &id,
+            SocketAddr::new(nowhere.ip(), 10_000 + n as u16),
+        );
+        registry.override_status("RENDER", &id, "STARTING");
+    }
+    let lab = lab(&registry, 1);
+    let measure = |what: &str, until: &dyn Fn()| {
+        let stop = Arc::new(AtomicBool::new(false));
+        let pulse = pulse(lab.submitters.clone(), stop.clone());
+        let from = Instant::now();
+        until();
+        let took = from.elapsed();
+        stop.store(true, Ordering::SeqCst);
+        let times = pulse.join().expect("no panic");
+        println!(
+            "| {count} | {what} | {:.2} | {:.2} | {:.1} | {} | {} |",
+            times.value_at_quantile(0.5) as f64 / 1e3,
+            times.value_at_quantile(0.99) as f64 / 1e3,
+            times.max() as f64 / 1e3,
+            took.as_millis(),
+            lab.held_kib().unwrap_or_default() / 1024,
+        );
+    };
+    let last = format!("i{:05}", count - 1);
+    // The list is being read already.
+    measure("whole list", &|| {
+        until(&lab, &registry, "/eureka/apps/delta", 1)
+    });
+    registry.override_status("RENDER", &last, "DOWN");
+    measure("deltas", &|| {
+        until(&lab, &registry, "/eureka/apps/delta", 6)
+    });
+}
+
+fn until(_lab: &Lab, registry: &Registry, path: &str, times: usize) {
+    let end = Instant::now() + Duration::from_secs(60);
+    while registry.asked(path) < times {
+        assert!(Instant::now() < end, "the registry is not asked");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// From a status that changes in the registry to the last job that its worker is sent, under load.
+fn flips(count: usize) {
+    let registry = Registry::start();
+    let lab = lab(&registry, 1);
+    for worker in &lab.workers {
+        worker.behave(|_| Act::Serve(Duration::ZERO, "made".to_owned()));
+        registry.register("RENDER", &worker.id, worker.addr);
+    }
+    lab.until_member("w3", |line| line.is_some_and(|line| line.contains(" in ")));
+    let stop = Arc::new(AtomicBool::new(false));
+    let load: Vec<_> = (0..4)
+        .map(|_| {
+            let (at, stop) = (lab.submitters.clone(), stop.clone());
+            std::thread::spawn(move || {
+                let mut stream = TcpStream::connect(at).expect("the node listens");
+                let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
+                let (mut line, mut sent) = (String::new(), 0u64);
+                while !stop.load(Ordering::SeqCst) {
+                    stream
+                        .write_all(b"{\"op\":\"runJob\",\"template\":{\"remoteCommand\":\"/x\",\"jobCategory\":\"preview\",\"accountingId\":\"au\"}}\n")
+                        .expect("the node reads");
+                    line.clear();
+                    reader.read_line(&mut line).expect("the node answers");
+                    sent += 1;
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+                sent
+            })
+        })
+        .collect();
+    let mut times = Histogram::<u64>::new(3).expect("three digits");
+    let (mut late, worker) = (0, &lab.workers[2]);
+    for _ in 0..count {
+        let told = Instant::now();
+        registry.override_status("RENDER", "w3", "OUT_OF_SERVICE");
+        lab.until_member("w3", |line| line.is_some_and(|line| line.contains(" out ")));
+        let known = Instant::now();
+        std::thread::sleep(Duration::from_millis(20));
+        let last = worker
+            .begun()
+            .iter()
+            .map(|job| job.at)
+            .filter(|at| *at > told)
+            .max();
+        if let Some(last) = last {
+            times
+                .record(last.duration_since(told).as_millis() as u64)
+                .expect("in range");
+            // What was on its way when the node came to know may still arrive.
+            late += u64::from(last > known + Duration::from_millis(400));
+        }
+        registry.override_status("RENDER", "w3", "UP");
+        lab.until_member("w3", |line| line.is_some_and(|line| line.contains(" in ")));
+    }
+    stop.store(true, Ordering::SeqCst);
+    let sent: u64 = load
+        .into_iter()
+        .map(|thread| thread.join().expect("no panic"))
+        .sum();
+    println!(
+        "\n{count} flips to `OUT_OF_SERVICE` and back, polled every 0.5 to 1 s, {sent} jobs meanwhile: from the registry's word \
+         to the last job sent p50 {} ms, p99 {} ms, max {} ms; jobs sent later than 400 ms after the node knew: {late}.",
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.99),
+        times.max()
+    );
+}
+
+fn main() {
+    let flip_count = std::env::args()
+        .nth(1)
+        .and_then(|word| word.parse().ok())
+        .unwrap_or(1000);
+    println!("| instances | taken | answer p50 ms | p99 ms | max ms | took ms | memory MiB |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for count in [100, 1000, 10_000] {
+        stalls(count);
+    }
+    flips(flip_count);
+}
--- a/lab/src/registry.rs
+++ b/lab/src/registry.rs
@@ -45,6 +45,7 @@
     mood: Mood,
     /// How often each path was asked for.
     asked: BTreeMap<String, usize>,
+    cancelled: BTreeMap<(String, String), usize>,
     /// Leases that run out are removed.
     expires: bool,
 }
@@ -103,6 +104,20 @@
         state.recent.clear();
     }
 
+    /// An instance's status as it is shown; none where it is not held.
+    pub fn status(&self, app: &str, id: &str) -> Option<String> {
+        let state = self.state();
+        let held = state.held.get(&(app.to_uppercase(), id.to_owned()))?;
+        let shown = State::shown(held, "ADDED");
+        shown["status"].as_str().map(str::to_owned)
+    }
+
+    /// How often an instance was cancelled, or has expired.
+    pub fn cancels(&self, app: &str, id: &str) -> usize {
+        let key = (app.to_uppercase(), id.to_owned());
+        self.state().cancelled.get(&key).copied().unwrap_or(0)
+    }
+
     /// How often a path was asked for.
     pub fn asked(&self, path: &str) -> usize {
         self.state().asked.get(path).copied().unwrap_or(0)
@@ -296,6 +311,7 @@
 
     fn cancel(&mut self, key: &(String, String)) {
         self.changed(key, "DELETED");
+        *self.cancelled.entry(key.clone()).or_default() += 1;
         self.held.remove(key);
     }
 
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -314,6 +314,9 @@
     pub fn full_s() -> usize {
         60
     }
+    pub fn renew_s() -> usize {
+        30
+    }
     pub fn yes() -> bool {
         true
     }
@@ -448,6 +451,18 @@
     kind_key: Option<String>,
     #[serde(default)]
     rack_key: Option<String>,
+    #[serde(default)]
+    register: Option<RegisterFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RegisterFile {
+    app: String,
+    id: String,
+    address: String,
+    #[serde(default = "defaults::renew_s")]
+    renew_s: usize,
 }
 
 #[derive(Deserialize)]
@@ -504,6 +519,18 @@
     pub deltas: bool,
     pub form: Form,
     pub keys: Keys,
+    /// The node's own entry; none where it is not to register.
+    pub register: Option<Registration>,
+}
+
+/// The node's own entry in a registry.
+#[derive(Clone, Debug)]
+pub struct Registration {
+    pub app: String,
+    pub id: String,
+    /// Where consumers are to find the node.
+    pub addr: SocketAddr,
+    pub renew: Micros,
 }
 
 /// What an operator has set for this site, besides what the platform tells. Without a file, nothing of it is on.
@@ -604,7 +631,26 @@
             _ => return err(format!("{source}: form"), "want json or xml"),
         };
         let secs = |s: usize| Micros(s as u64 * 1_000_000);
+        let register = match self.register {
+            None => None,
+            Some(file) => {
+                let source = format!("{source}: register");
+                within(&source, &[("renew_s", file.renew_s, 1, 3600)])?;
+                for (key, word) in [("app", &file.app), ("id", &file.id)] {
+                    if !plain(word) || word.contains(['/', '?', '#', '%']) {
+                        return err(format!("{source}: {key}"), "want a plain word");
+                    }
+                }
+                Some(Registration {
+                    addr: address((format!("{source}: address"), file.address))?,
+                    app: file.app,
+                    id: file.id,
+                    renew: secs(file.renew_s),
+                })
+            }
+        };
         Ok(EurekaConfig {
+            register,
             urls,
             apps: self.apps,
             vip: self.vip,
--- a/node/src/eureka/mod.rs
+++ b/node/src/eureka/mod.rs
@@ -7,7 +7,7 @@
 use crate::net::{Net, Peer, Ready, Token};
 use crate::party::{Hub, Party};
 use marbledeck::Micros;
-use marbledeck_eureka::{Change, Encoding, Form, Poll, Settings};
+use marbledeck_eureka::{Change, Encoding, Form, Lease, LeaseAsk, LeaseSettings, Poll, Settings};
 use marbledeck_membership::{SourceId, Told};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -25,7 +25,73 @@
     head: Option<(ResponseHead, Body)>,
 }
 
+/// What is being said of the node itself.
+struct Own {
+    lease: Lease,
+    call: Option<(u64, Token)>,
+}
+
+impl Own {
+    fn close(&mut self, net: &mut Net) {
+        if let Some((_, token)) = self.call.take() {
+            net.close(token);
+        }
+    }
+
+    fn ask(&mut self, now: Micros, registries: &[SocketAddr], peer: Peer, net: &mut Net) {
+        while let Some(ask) = self.lease.ask(now) {
+            self.close(net);
+            let addr = registries[ask.registry];
+            match net.connect(addr, peer) {
+                Ok(token) => {
+                    // A new connection holds a request.
+                    let _ = net.write(token, &said(&ask, addr));
+                    self.call = Some((ask.number, token));
+                }
+                Err(e) => {
+                    log::warn!("eureka: {e}");
+                    self.lease.failed(now, ask.number);
+                }
+            }
+        }
+    }
+
+    fn read(&mut self, now: Micros, token: Token, net: &mut Net) {
+        let (Some((number, _)), Some(conn)) = (self.call, net.get(token)) else {
+            return;
+        };
+        match http::response_head(conn.input.all()) {
+            Ok(None) if !conn.eof && !conn.broken => {}
+            Ok(Some((head, _))) => {
+                if !(200..300).contains(&head.status) {
+                    log::warn!("eureka: status {} on the node's own entry", head.status);
+                }
+                self.lease.answered(now, number, head.status);
+                self.close(net);
+            }
+            _ => {
+                self.lease.failed(now, number);
+                self.close(net);
+            }
+        }
+    }
+}
+
+fn said(ask: &LeaseAsk, addr: SocketAddr) -> Vec<u8> {
+    let (method, path, body) = (ask.method, &ask.path, &ask.body);
+    let kind = match body.is_empty() {
+        true => "",
+        false => "Content-Type: application/json\r\n",
+    };
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {addr}\r\n{kind}Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
 pub struct Eureka {
+    own: Option<Own>,
     source: SourceId,
     poll: Poll,
     registries: Vec<SocketAddr>,
@@ -57,7 +123,23 @@
             full: config.full,
             deltas: config.deltas,
         };
+        let own = config.register.map(|own| Own {
+            lease: Lease::new(
+                LeaseSettings {
+                    registries: settings.registries,
+                    path: settings.path.clone(),
+                    app: own.app,
+                    id: own.id,
+                    addr: own.addr,
+                    renew: own.renew,
+                    timeout: settings.timeout,
+                },
+                now,
+            ),
+            call: None,
+        });
         Eureka {
+            own,
             source,
             poll: Poll::new(settings, now, seed),
             registries,
@@ -223,27 +305,50 @@
             .call
             .as_ref()
             .is_some_and(|call| call.token == event.token);
-        match ours {
-            true => {
-                self.read(now, event.token, &mut hub.net);
-                self.ask(now, &mut hub.net);
-            }
-            false => hub.net.close(event.token),
+        let of_own = |own: &&mut Own| own.call.is_some_and(|(_, token)| token == event.token);
+        if let Some(own) = self.own.as_mut().filter(of_own) {
+            own.read(now, event.token, &mut hub.net);
+            own.ask(now, &self.registries, self.peer, &mut hub.net);
+        } else if ours {
+            self.read(now, event.token, &mut hub.net);
+            self.ask(now, &mut hub.net);
+        } else {
+            hub.net.close(event.token);
         }
     }
 
     fn next_wake(&self) -> Option<Micros> {
         let busy = !self.backlog.is_empty() || self.sweep.is_some();
+        let own = self.own.as_ref().and_then(|own| own.lease.next_wake());
         match busy {
             true => Some(Micros(0)),
-            false => Some(self.poll.next_wake()),
+            false => own.into_iter().chain([self.poll.next_wake()]).min(),
         }
     }
 
     fn wake(&mut self, now: Micros, hub: &mut Hub) {
         self.ask(now, &mut hub.net);
+        if let Some(own) = &mut self.own {
+            own.ask(now, &self.registries, self.peer, &mut hub.net);
+        }
         self.backlog.extend(self.poll.take_changes());
         let told = self.tell(now, &mut hub.fleet);
         hub.fleet.changed(now, told, &mut hub.core);
     }
+
+    /// Another process renews the node's entry from now on: without a gap, and without a cancel.
+    fn set_succeeded(&mut self, succeeded: bool, hub: &mut Hub) {
+        if let Some(own) = &mut self.own {
+            own.lease.set_handed_on(hub.now, succeeded);
+            if succeeded {
+                own.close(&mut hub.net);
+            }
+        }
+    }
+
+    fn end(&mut self, now: Micros) {
+        if let Some(own) = &mut self.own {
+            own.lease.leave(now);
+        }
+    }
 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -232,6 +232,7 @@
         let mut node = Node {
             clock,
             hub: Hub {
+                now,
                 net,
                 core,
                 workers,
@@ -304,6 +305,7 @@
     }
 
     fn wake(&mut self, now: Micros) {
+        self.hub.now = now;
         self.hub.core.wake(now);
         let Hub {
             net,
@@ -311,6 +313,7 @@
             workers,
             directory,
             fleet,
+            ..
         } = &mut self.hub;
         workers.wake(now, net, core);
         directory.wake(now, net, core);
@@ -339,6 +342,7 @@
 
     fn dispatch(&mut self, event: Ready) {
         let (now, token) = (self.clock.now(), event.token);
+        self.hub.now = now;
         match event.peer {
             Peer::Consumer if event.listener => self.consumers.accept(now, &mut self.hub.net),
             Peer::Consumer => {
@@ -675,6 +679,7 @@
                 workers,
                 directory,
                 fleet,
+                ..
             } = &mut self.hub;
             for worker in std::mem::take(&mut fleet.stale) {
                 workers.forget(worker, net);
--- a/node/src/party.rs
+++ b/node/src/party.rs
@@ -15,6 +15,8 @@
 
 /// What parties work with.
 pub struct Hub {
+    /// The time of this turn.
+    pub now: Micros,
     pub net: Net,
     pub core: Core,
     pub workers: Workers,
--- a/node/tests/eureka.rs
+++ b/node/tests/eureka.rs
@@ -256,3 +256,79 @@
         lab.until_member("w3", is_in);
     }
 }
+
+/// The node's own entry: registered, registered anew where it was forgotten, kept over an upgrade without a cancel, and
+/// taken out at the end.
+#[test]
+fn the_node_in_the_registry() {
+    let registry = Registry::start();
+    let own =
+        "[eureka.register]\napp = \"deck\"\nid = \"n0\"\naddress = \"127.0.0.1:9\"\nrenew_s = 1\n";
+    let mut lab = lab(&[&registry], own);
+    let path = "/eureka/apps/deck";
+    let until = |what: &str, is: &dyn Fn() -> bool| {
+        let end = Instant::now() + Duration::from_secs(30);
+        while !is() {
+            assert!(Instant::now() < end, "{what}");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    };
+    until("registered", &|| {
+        registry.status("DECK", "n0").as_deref() == Some("UP")
+    });
+    registry.remove("DECK", "n0", false);
+    until("registered anew", &|| registry.asked(path) >= 2);
+    lab.succeed();
+    lab.signal(0, "-TERM");
+    assert!(lab.ends(0));
+    assert_eq!(
+        registry.status("DECK", "n0").as_deref(),
+        Some("UP"),
+        "no cancel by the old one"
+    );
+    assert_eq!(registry.cancels("DECK", "n0"), 1, "that of this test");
+    lab.signal(1, "-TERM");
+    assert!(lab.ends(1));
+    until("taken out", &|| registry.status("DECK", "n0").is_none());
+}
+
+/// A worker behind an unchanged client of another language: it registers, renews, is seen by the node and gets work.
+/// `make binding` fetches the client; MARBLEDECK_BINDING is where to.
+#[test]
+fn a_stock_client() {
+    let Some(binding) = std::env::var_os("MARBLEDECK_BINDING").map(std::path::PathBuf::from) else {
+        return eprintln!("not run: `make test` fetches the client");
+    };
+    let registry = Registry::start();
+    let lab = Lab::start(Options {
+        listed: Some(0),
+        workers: 1,
+        site: site(&[&registry], ""),
+        ..Options::default()
+    });
+    let worker = &lab.workers[0];
+    let script = "import sys, py_eureka_client.eureka_client as e\n\
+                  e.init(eureka_server=sys.argv[1], app_name='render', instance_ip='127.0.0.1', instance_host='127.0.0.1', \
+                  instance_port=int(sys.argv[2]), renewal_interval_in_secs=1, duration_in_secs=4, \
+                  metadata={'worker': 'w1', 'zone': 'east', 'kind': 'std'}, should_discover=False)\n\
+                  sys.stdin.read()\ne.stop()\n";
+    let mut python = Command::new(binding.join("bin/python"));
+    python
+        .arg("-c")
+        .arg(script)
+        .arg(registry.url())
+        .arg(worker.addr.port().to_string());
+    python.stdin(std::process::Stdio::piped());
+    let mut child = python.spawn().unwrap();
+    registry.expire();
+    lab.until_member("w1", is_in);
+    // Longer than its lease: it renews.
+    std::thread::sleep(Duration::from_secs(5));
+    lab.until_member("w1", |line| is_in(line) && !is_doubtful(line));
+    assert!(run(&lab, "/x"));
+    assert_eq!(worker.begun().len(), 1);
+    drop(child.stdin.take());
+    lab.until_member("w1", |line| !is_in(line) || is_doubtful(line));
+    let _ = child.kill();
+    let _ = child.wait();
+}
