--- a/membership/examples/bad_days.rs
+++ b/membership/examples/bad_days.rs
@@ -29,7 +29,7 @@
 }
 
 fn expires_half(second: u64, worker: usize, dies: Option<u64>) -> Option<bool> {
-    match (120..300).contains(&second) && worker % 2 == 0 {
+    match (120..300).contains(&second) && worker.is_multiple_of(2) {
         true => Some(false),
         false => well(second, worker, dies),
     }
@@ -43,7 +43,7 @@
 }
 
 fn flaps(second: u64, worker: usize, dies: Option<u64>) -> Option<bool> {
-    match (120..360).contains(&second) && second / POLL % 2 == 0 {
+    match (120..360).contains(&second) && (second / POLL).is_multiple_of(2) {
         true => Some(false),
         false => well(second, worker, dies),
     }
