--- a/client/src/client.rs
+++ b/client/src/client.rs
@@ -603,8 +603,11 @@
         struct Machines {
             machines: Vec<Machine>,
         }
-        self.ask(Op::GetAllMachines { names: None })
-            .map(|all: Machines| all.machines)
+        let mut all = Vec::new();
+        for line in self.lines(Op::GetAllMachines { names: None }, None)? {
+            all.extend(read::<Machines>(line)?.machines);
+        }
+        Ok(all)
     }
 
     /// Any other request, as the node answers it.
--- a/submission/src/server.rs
+++ b/submission/src/server.rs
@@ -34,6 +34,8 @@
 const DUE: usize = 256;
 /// Jobs that one line of an answer to `runBulkJobs` names.
 const BULK_LINE: usize = 256;
+/// Machines that one line of an answer names.
+const MACHINES: usize = 200;
 /// The most jobs of a page, jobs looked at for one, and bytes after which it ends.
 const PAGE: usize = 256;
 const SCAN: usize = 2048;
@@ -756,8 +758,16 @@
             }
             Op::GetAllMachines { names } => {
                 let mut machines = desk.machines(now);
-                machines.retain(|m| names.as_ref().is_none_or(|names| names.contains(&m.name)));
-                self.say(peer, seq, json!({ "machines": machines }));
+                let named =
+                    |m: &Machine| names.as_ref().is_none_or(|names| names.contains(&m.name));
+                machines.retain(named);
+                // A large fleet does not fit a line.
+                let mut parts: Vec<&[Machine]> = machines.chunks(MACHINES).collect();
+                let last = parts.pop().unwrap_or_default();
+                for part in parts {
+                    self.say(peer, seq, json!({ "machines": part, "more": true }));
+                }
+                self.say(peer, seq, json!({ "machines": last }));
             }
             Op::GetAllReservations => {
                 let words =
