--- a/lab/src/bin/eureka-bench.rs
+++ b/lab/src/bin/eureka-bench.rs
@@ -133,7 +133,8 @@
         registry.override_status("RENDER", "w3", "OUT_OF_SERVICE");
         lab.until_member("w3", |line| line.is_some_and(|line| line.contains(" out ")));
         let known = Instant::now();
-        std::thread::sleep(Duration::from_millis(20));
+        // Long enough that a job sent too late would be seen.
+        std::thread::sleep(Duration::from_millis(600));
         let last = worker
             .begun()
             .iter()
