Copy no job that merely waits, hear all workers asked, draw sharper over both zones

Harmless with two nodes; with 100 each copy makes the next job wait and be copied. What a job meets depends on how much room the answer of the moment showed: 9% waited at six free slots, 53% at one. Ruled out: the node's own work (0.3 to 0.6 ms from the answer to the consumer, 3 ms to the first call).

A copy is now sent only off a worker that has failed since.

--- a/node/src/core/book.rs
+++ b/node/src/core/book.rs
@@ -80,6 +80,7 @@
         }
         let invocation = self.table.get(id);
         let class = invocation.as_ref().map(|i| i.class);
+        log::trace!("job {} {verdict}", id.0);
         let sent = invocation.and_then(|i| i.last_sent());
         if let Some(class) = class.and_then(|class| self.counts.class(class)) {
             match verdict {
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -21,6 +21,7 @@
     SettingsError, WorkerId,
 };
 use std::collections::VecDeque;
+use std::fmt;
 use std::rc::Rc;
 use table::Table;
 use timers::{Due, Timers};
@@ -51,6 +52,17 @@
     Failed,
 }
 
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Verdict::Served(_) => f.write_str("served"),
+            Verdict::Rejected(None) => f.write_str("rejected"),
+            Verdict::Rejected(Some(wait)) => write!(f, "rejected for {} ms", wait.0 / 1000),
+            Verdict::Failed => f.write_str("failed"),
+        }
+    }
+}
+
 /// One attempt of an invocation at a worker.
 #[derive(Clone, Debug)]
 pub struct InvokerCall {
@@ -166,6 +178,11 @@
         outcome: Outcome,
         report: Option<Report>,
     ) {
+        log::trace!(
+            "probe worker {:016x} {outcome:?}: free {}",
+            worker.0,
+            relay::Told(report)
+        );
         self.pending
             .push_back(Event::Probed(worker, outcome, report));
         self.decide(now);
--- a/node/src/core/relay.rs
+++ b/node/src/core/relay.rs
@@ -2,6 +2,19 @@
 
 use super::{Command, Core, Verdict};
 use marbledeck::{Ended, Event, Micros, Outcome, Report, RequestId};
+use std::fmt;
+
+/// What a report tells of free slots, for the log.
+pub(super) struct Told(pub Option<Report>);
+
+impl fmt::Display for Told {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.0.and_then(|report| report.free_slots) {
+            Some(free) => write!(f, "{free:.1}"),
+            None => f.write_str("-"),
+        }
+    }
+}
 
 impl Core {
     /// A worker has begun to run a call.
@@ -9,7 +22,7 @@
         let Some(call) = self.table.out(id, attempt) else {
             return;
         };
-        call.started = true;
+        call.started.get_or_insert(now);
         let worker = call.worker;
         if self.table.get(id).is_some_and(|i| !i.answered) {
             self.commands.push_back(Command::Running(id, worker));
@@ -55,9 +68,17 @@
         let started = call.started;
         call.never_ran = outcome.never_ran();
         let (worker, latency) = (call.worker, now - call.sent);
+        log::trace!(
+            "call {}.{attempt} worker {:016x} {outcome:?}: waited {} ran {} us, free {}",
+            id.0,
+            worker.0,
+            started.map_or(latency, |at| at - call.sent).0,
+            started.map_or(Micros(0), |at| now - at).0,
+            Told(report)
+        );
         let closed = self.table.get(id).is_none_or(|i| i.answered);
         self.counts.end(outcome);
-        if started && !closed {
+        if started.is_some() && !closed {
             self.returned.push(id);
         }
         self.pending.push_back(Event::Ended(Ended {
--- a/node/src/core/route.rs
+++ b/node/src/core/route.rs
@@ -24,7 +24,7 @@
             worker,
             sent: now,
             out: may,
-            started: false,
+            started: None,
             never_ran: !may,
         });
         if may {
--- a/node/src/core/send.rs
+++ b/node/src/core/send.rs
@@ -21,6 +21,7 @@
         let work = invocation.work.clone();
         self.timers.add(until, Due::Attempt(id, attempt));
         self.counts.calls += 1;
+        log::trace!("call {}.{attempt} to {:016x}", id.0, worker.0);
         self.commands.push_back(Command::Call(InvokerCall {
             id,
             attempt,
--- a/node/src/core/table.rs
+++ b/node/src/core/table.rs
@@ -9,8 +9,8 @@
     pub worker: WorkerId,
     pub sent: Micros,
     pub out: bool,
-    /// A worker has told that it runs.
-    pub started: bool,
+    /// When a worker told that it runs.
+    pub started: Option<Micros>,
     /// Proved never to have run.
     pub never_ran: bool,
 }
@@ -26,7 +26,9 @@
 impl Invocation {
     /// Whether a call is out that a worker runs.
     pub fn runs(&self) -> bool {
-        self.calls.iter().any(|call| call.out && call.started)
+        self.calls
+            .iter()
+            .any(|call| call.out && call.started.is_some())
     }
 
     /// When it was last sent by a call that may have run.
--- a/node/src/core/take_in.rs
+++ b/node/src/core/take_in.rs
@@ -141,6 +141,8 @@
         // After the attempts' time-outs, which let the dispatcher answer.
         self.timers.add(deadline + BACKSTOP, Due::Deadline(id));
         self.counts.taken += 1;
+        let (ClassId(c), TenantId(t), left) = (class, tenant, order.time_left.0);
+        log::trace!("job {} class {c} tenant {t}: {left} us left", id.0);
         self.pending.push_back(Event::Job(Job {
             id,
             class,
--- a/node/src/logger.rs
+++ b/node/src/logger.rs
@@ -21,7 +21,7 @@
         // A closed standard error is no reason to stop serving.
         let _ = writeln!(
             std::io::stderr().lock(),
-            "{now:.3} {level} {module}: {}",
+            "{now:.6} {level} {module}: {}",
             record.args()
         );
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,9 +14,15 @@
 /// Steps of a walk, or tries of a sampled draw, before the whole list is looked through.
 const TRIES: usize = 32;
 /// Workers asked before a job is sent where most of the fleet is not heard of.
-const ASKED: usize = 3;
+const ASKED: usize = 4;
 /// The part of what it can spare that a job waits for their answers, or at a worker before it asks others.
 const ASKING: f64 = 0.1;
+/// The discount for many dispatchers: the power of its free slots by which a worker is drawn rises from one, where a
+/// dispatcher is alone, by so much. A report of more room is the likelier to hold while others send on it as well: of
+/// jobs sent by 100 on an answer of the moment, a tenth waited where six slots were free, half where one was.
+const SHARPER: f64 = 5.0;
+/// How much likelier a worker of the own zone is drawn than one alike of another: a crossing has its price.
+const NEAR: f64 = 2.0;
 /// A bucket holds the mean of so many seconds, or two standard deviations of the time below if more.
 const BURST_S: f64 = 4.0;
 /// How far back a tenant's demand is looked at.
@@ -126,7 +132,6 @@
         self.forget_stale(now);
         let wait = self.charge(now, job.tenant);
         let request = Request::new(now, job, wait);
-        self.probe(now, None, out);
         let shut = request.wait > 0.0 && !self.gate(now, &request);
         if shut || self.jammed(now, &request) {
             return out.push(self.refusal(request.job.id, request.wait));
@@ -135,6 +140,7 @@
         if most_unheard && self.settings.limits.probes {
             return self.ask(now, request, out);
         }
+        self.probe(now, None, out);
         self.place(now, request, out);
     }
 
@@ -180,7 +186,7 @@
     fn gate(&mut self, now: Micros, request: &Request) -> bool {
         let (mut seen, mut room, mut age) = (0.0, 0.0, 0.0);
         for &w in &self.fleet.heard {
-            let told = self.fleet[w].others.map(|(_, at)| (now - at).secs());
+            let told = self.fleet[w].left.map(|(_, at)| (now - at).secs());
             let fresh = |old: &f64| *old < FRESH_S && self.may(now, request, w);
             if let Some(old) = told.filter(fresh) {
                 seen += 1.0;
@@ -281,8 +287,8 @@
         }
     }
 
-    /// Free slots: all, less own attempts out, less what others hold. What was heard of that fades, as
-    /// their jobs come and go, to the mean. Where own jobs wait there is no room, whatever a report says.
+    /// Free slots: what others leave, less own attempts out. What was heard of that fades, as their jobs come and
+    /// go, to the mean. Where own jobs wait there is no room, whatever a report says.
     fn free(&self, now: Micros, w: usize) -> f64 {
         let worker = &self.fleet[w];
         if !worker.waiting.is_empty() {
@@ -290,19 +296,15 @@
         }
         let kind = &self.fleet.kinds[&worker.entry.kind];
         let slots = kind.slots.max(1.0);
-        let (others, at) = worker.others.unwrap_or_default();
+        let (left, at) = worker.left.unwrap_or((slots, Micros(0)));
         let pace = (1.0 - 1.0 / self.dispatchers) / self.mean_service;
         let keep = (-pace * (now - at).secs()).exp();
-        (slots - worker.open - keep * others - (1.0 - keep) * kind.typical * slots).max(0.0)
+        (keep * left + (1.0 - keep) * (1.0 - kind.typical) * slots - worker.open).max(0.0)
     }
 
     fn draw(&mut self, now: Micros, request: &Request) -> Option<usize> {
         let roomy = self.fleet.heard.iter().copied();
-        let roomy = roomy.filter(|&w| self.roomy(now, request, w));
-        // The own zone first, where it shows room: a crossing has its price.
-        let near = |w: &usize| self.fleet[*w].entry.zone == self.settings.zone;
-        let (near, far): (Vec<_>, Vec<_>) = roomy.partition(near);
-        let roomy = if near.is_empty() { far } else { near };
+        let roomy: Vec<usize> = roomy.filter(|&w| self.roomy(now, request, w)).collect();
         if !roomy.is_empty() {
             return self.weighted(now, roomy);
         }
@@ -321,9 +323,15 @@
         self.weighted(now, if well.is_empty() { resting } else { well })
     }
 
-    /// A random one of these, in proportion to their free slots.
+    /// A random one of these, the likelier the more free slots it has, and in the own zone. Not the own zone alone
+    /// while it shows any room: all dispatchers of the busier zone would crowd there, beside idle workers.
     fn weighted(&mut self, now: Micros, mut drawn: Vec<usize>) -> Option<usize> {
-        let mut weights: Vec<f64> = drawn.iter().map(|&w| self.free(now, w)).collect();
+        let power = 1.0 + SHARPER * (1.0 - 1.0 / self.dispatchers);
+        let weight = |&w: &usize| match self.fleet[w].entry.zone == self.settings.zone {
+            true => NEAR * self.free(now, w).powf(power),
+            false => self.free(now, w).powf(power),
+        };
+        let mut weights: Vec<f64> = drawn.iter().map(weight).collect();
         if weights.iter().sum::<f64>() <= 0.0 {
             // No room anywhere: an even draw, among the workers where the fewest own jobs wait.
             let fewest = drawn.iter().map(|&w| self.fleet[w].waiting.len()).min();
@@ -341,9 +349,12 @@
 
     /// Asks some workers on behalf of a job, which waits for a part of what it can spare. Guards against a
     /// blind draw where most of the fleet is not heard of, and against waiting where others are free.
-    fn ask(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
-        for _ in 1..ASKED {
-            self.probe(now, Some(&request), out);
+    fn ask(&mut self, now: Micros, mut request: Request, out: &mut Vec<Action>) {
+        for _ in 0..ASKED {
+            request.awaited.extend(self.probe(now, Some(&request), out));
+        }
+        if request.awaited.is_empty() && request.attempts.is_empty() {
+            return self.place(now, request, out);
         }
         let (id, spare) = (request.job.id, self.spare(&request.job));
         let until = now + Micros::from_secs(spare.secs() * ASKING);
@@ -371,25 +382,42 @@
         }
     }
 
-    /// A worker has told its free slots: the first of the held jobs that it can take goes.
+    /// A worker has told its free slots: the first of the held jobs goes that has heard all that it asked, or asked
+    /// others, and can go somewhere now. The first answer with room is seldom the best.
     fn settle(&mut self, now: Micros, w: usize, out: &mut Vec<Action>) {
-        let takes = |id: &RequestId| {
+        let worker = self.fleet[w].entry.worker;
+        let mut asked = None;
+        for id in &self.held {
+            if let Some(request) = self.requests.get_mut(id) {
+                let before = request.awaited.len();
+                request.awaited.retain(|awaited| *awaited != worker);
+                asked = asked.or(Some(*id).filter(|_| before > request.awaited.len()));
+            }
+        }
+        let goes = |id: &RequestId| {
             let request = self.requests.get(id);
-            request.is_some_and(|r| r.idle() && self.roomy(now, r, w))
+            let known = request.filter(|r| r.awaited.is_empty() && r.idle());
+            let takes = |r: &Request, w: usize| self.roomy(now, r, w);
+            let mut heard = self.fleet.heard.iter();
+            known.is_some_and(|r| takes(r, w) || Some(*id) == asked && heard.any(|&w| takes(r, w)))
         };
-        let first = self.held.iter().copied().find(takes);
+        let first = self.held.iter().copied().find(goes);
         if let Some(request) = first.and_then(|id| self.requests.remove(&id)) {
             self.held.retain(|id| *id != request.job.id);
             self.place(now, request, out);
         }
     }
 
-    /// When a request whose attempts all wait looks for another worker, if it may have a copy.
+    /// When a request whose attempts all wait looks for another worker, if it may have a copy: only where its worker
+    /// has failed others meanwhile. A copy does not take back the first, which still runs one day: where all
+    /// dispatchers move what waits, the copies make the next jobs wait, until little else runs.
     fn move_at(&self, request: &Request) -> Option<Micros> {
         let (limits, last) = (&self.settings.limits, request.attempts.last()?);
         let copies = limits.second_copies && self.class(&request.job).effect != Effect::Unsafe;
         let told = limits.cancel && self.settings.tells_start;
-        let may = copies && told && last.waits() && request.idle();
+        let failed = |w: usize| self.fleet[w].avoid_until > last.sent;
+        let failed = self.fleet.find(last.worker).is_some_and(failed);
+        let may = copies && told && failed && last.waits() && request.idle();
         may.then(|| last.sent + Micros::from_secs(self.spare(&request.job).secs() * ASKING))
     }
 
@@ -409,8 +437,9 @@
         for i in earlier.filter(|&i| request.attempts[i].waits()) {
             out.push(Action::Cancel(request.job.id, i as u32));
         }
-        if let Some(at) = self.move_at(&request) {
-            out.push(Action::Timer(at, request.job.id.0));
+        let patience = Micros::from_secs(self.spare(&request.job).secs() * ASKING);
+        if self.settings.limits.second_copies {
+            out.push(Action::Timer(now + patience, request.job.id.0));
         }
         self.requests.insert(request.job.id, request);
     }
@@ -492,10 +521,10 @@
             let free = free.round();
             kind.slots = kind.slots.max(free);
             let slots = kind.slots.max(1.0);
-            let others = (slots - free - worker.open).max(0.0);
-            worker.others = Some((others, now));
+            let left = slots.min(free + worker.open);
+            worker.left = Some((left, now));
             kind.reports += 1.0;
-            kind.typical += NEWEST.max(1.0 / kind.reports) * (others / slots - kind.typical);
+            kind.typical += NEWEST.max(1.0 / kind.reports) * (1.0 - left / slots - kind.typical);
         }
         match outcome {
             Outcome::ConnectFailed | Outcome::Reset | Outcome::TimedOut | Outcome::Error => {
@@ -504,7 +533,7 @@
                 worker.avoid_until = now + worker.rest;
             }
             // A rejection is the freshest report there is: no slot is free, whatever was heard before.
-            Outcome::Full => worker.others = Some((kind.slots.max(1.0), now)),
+            Outcome::Full => worker.left = Some((0.0, now)),
             Outcome::Ok | Outcome::Cancelled | Outcome::Moot => {}
         }
         self.fleet.hear(w);
@@ -514,7 +543,7 @@
     fn forget_stale(&mut self, now: Micros) {
         let stale = Micros::from_secs((STALE * self.mean_service).max(FRESH_S));
         self.fleet.forget(|worker| {
-            let told = worker.others.is_some_and(|(_, at)| now - at < stale);
+            let told = worker.left.is_some_and(|(_, at)| now - at < stale);
             !told && worker.open <= 0.0 && now - worker.lag.1 >= worker.lag.0
         });
     }
@@ -566,24 +595,31 @@
             let worker = self.fleet.enter(entry.worker);
             if worker.entry.started != entry.started {
                 // A restarted process is empty and healthy, but cold: what it was lately sent counts on.
-                (worker.others, worker.lag, worker.avoid_until) = Default::default();
+                (worker.left, worker.lag, worker.avoid_until) = Default::default();
             }
             worker.entry = entry;
         }
         self.fleet.tidy();
     }
 
-    /// Probes the next worker of the walk, or the next that may take this request. Each job brings its
-    /// probes, so that their price and work stay bounded however many workers there are.
-    fn probe(&mut self, now: Micros, request: Option<&Request>, out: &mut Vec<Action>) {
+    /// Probes the next worker of the walk, or the next that may take this request, and tells which. Each job brings
+    /// its probes, so that their price and work stay bounded however many workers there are.
+    fn probe(
+        &mut self,
+        now: Micros,
+        request: Option<&Request>,
+        out: &mut Vec<Action>,
+    ) -> Option<WorkerId> {
         for _ in 0..(4 * TRIES).min(self.fleet.workers.len()) {
             self.cursor = self.cursor.wrapping_add(1) % self.fleet.workers.len();
             let fits = request.is_none_or(|r| self.may(now, r, self.cursor));
             let Worker { entry, probing, .. } = &mut self.fleet[self.cursor];
             if fits && self.settings.limits.probes && entry.state == State::Ready && !*probing {
                 *probing = true;
-                return out.push(Action::Probe(entry.worker));
+                out.push(Action::Probe(entry.worker));
+                return Some(entry.worker);
             }
         }
+        None
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,8 +49,9 @@
     pub entry: Entry,
     /// Whether it is among those lately heard of or sent to.
     pub heard: bool,
-    /// Slots that others held when it was last heard of, and when that was.
-    pub others: Option<(f64, Micros)>,
+    /// Slots that others left when it was last heard of, free or with own attempts, and when that was. Not the slots
+    /// that they held: how many there are is learned from later reports.
+    pub left: Option<(f64, Micros)>,
     /// Slots of own attempts that are out.
     pub open: f64,
     /// When own attempts were sent that have not started yet, oldest first.
@@ -133,6 +134,8 @@
     pub ended: bool,
     /// Seconds until its buckets have a token; it is charged if none.
     pub wait: f64,
+    /// The workers asked for it that have not answered yet.
+    pub awaited: Vec<WorkerId>,
 }
 
 impl Request {
@@ -143,6 +146,7 @@
             attempts: Vec::new(),
             ended: false,
             wait,
+            awaited: Vec::new(),
         }
     }
 
