Let the right to send to a cold worker rotate over the dispatchers, for jobs of any class

Cause, `cold_room`: the budget of what a cold worker bears was given to the same 5 of 100 dispatchers for good, and each of these only for a job no longer than the mean, which shuts out all sheet-publishes. The budget itself is not what binds: taking 2.5 times of it changed the jobs sent to a cold worker only from 21 to 23.

Now the dispatchers that may send change with each window of the rule, differently at each worker, one whole job each, of any class; 0.8 of the budget is given out where it is divided so (0.5 as before where every dispatcher has a part).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -29,8 +29,12 @@
 const UNEVEN_S: f64 = 20.0;
 /// Weight of the newest value in the running means; about the last twenty values count.
 const NEWEST: f64 = 0.1;
-/// The part of a cold worker's budget that is used: its slots and the jobs' lengths are estimates.
+/// The part of a cold worker's budget that is used: its slots and the jobs' lengths are estimates. More of it where
+/// many dispatchers share one: few of those that may send in a window have a job for it then.
 const SURE: f64 = 0.5;
+const SURE_OF_MANY: f64 = 0.8;
+/// An odd number that spreads whatever it is multiplied with over the upper bits.
+const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
 /// A failing worker is first left alone for as long as a slow connect takes, twice as long each time.
 const REST: Micros = Micros(500_000);
 
@@ -555,8 +559,9 @@
     }
 
     /// Whether a cold worker can take the job within this dispatcher's part of what it bears in a window,
-    /// whatever it reports. Guards the fourth rule. Where a part would be less than a job, some dispatchers
-    /// have a whole one, others at each worker. One that has just started has forgotten what it sent.
+    /// whatever it reports. Guards the fourth rule. Where a part would be less than a job, some dispatchers have a
+    /// whole one of any length, others at each worker and in each window: were they always the same, a worker would be
+    /// left to what a few of them happen to bring. One that has just started has forgotten what it sent.
     fn cold_room(&self, now: Micros, w: usize, job: &Job) -> bool {
         let (worker, rules) = (&self.fleet[w], &self.settings.rules);
         let age = worker.entry.started.map(|at| now - at);
@@ -565,16 +570,23 @@
         };
         let warm = rules.cold_from + (1.0 - rules.cold_from) * age.secs() / rules.warm_up.secs();
         let (slots, window) = (self.fleet.slots(w).max(1.0), rules.tip_after);
-        let budget = rules.overload_factor * warm * slots * window.secs() * SURE;
-        let jobs = (budget / self.mean_service).floor();
-        let parts = jobs.clamp(1.0, self.dispatchers);
-        let turn = worker.entry.worker.0 % u64::from(self.settings.dispatchers);
-        let turn = (turn as f64 + f64::from(self.settings.index)) % self.dispatchers;
+        let bears = rules.overload_factor * warm * slots * window.secs();
+        let jobs = (bears * SURE_OF_MANY / self.mean_service).floor();
         let lately = worker.sent.iter().filter(|(at, _)| now - *at <= window);
         let sent: f64 = lately.map(|(_, cost)| cost).sum();
-        turn < parts
-            && now - self.born >= window
-            && sent + job.slots * self.expected(job) <= budget / parts
+        if now - self.born < window {
+            return false;
+        }
+        if jobs >= self.dispatchers {
+            let part = bears * SURE / self.dispatchers;
+            return sent + job.slots * self.expected(job) <= part;
+        }
+        let (id, dispatchers) = (worker.entry.worker.0, u64::from(self.settings.dispatchers));
+        let epoch = (now.0 + id % window.0.max(1)) / window.0.max(1);
+        let turn = (id ^ epoch).wrapping_mul(SPREAD) >> 32;
+        let turn = (turn + u64::from(self.settings.index)) % dispatchers;
+        let parts = jobs.max(1.0) * dispatchers as f64 / self.dispatchers;
+        sent == 0.0 && (turn as f64) < parts
     }
 
     fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
