Let jobs ask on while no worker asked has room, and give them up in good time

A call that failed was drawn anew without asking.

Now, where most of the fleet is unheard, a job asks first, the uncharged one needs a slot more, and one for which no asked worker has room asks others each twentieth of what it can spare, until three tenths of that are over; then it is given up at once, with when to come back. The same after a failed call. Of a cold worker's budget all is given out.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,7 +16,10 @@
 /// Workers asked before a job is sent where most of the fleet is not heard of.
 const ASKED: usize = 4;
 /// The part of what it can spare that a job waits for their answers, or at a worker before it asks others.
-const ASKING: f64 = 0.1;
+const ASKING: f64 = 0.05;
+/// The part of what it can spare for which a job looks for room. Later it would only wait at some worker, in the way of
+/// jobs that can still be in time.
+const PATIENCE: f64 = 0.3;
 /// The discount for many dispatchers: the power of its free slots by which a worker is drawn rises from one, where a
 /// dispatcher is alone, by so much. A report of more room is the likelier to hold while others send on it as well: of
 /// jobs sent by 100 on an answer of the moment, a tenth waited where six slots were free, half where one was.
@@ -29,10 +32,10 @@
 const UNEVEN_S: f64 = 20.0;
 /// Weight of the newest value in the running means; about the last twenty values count.
 const NEWEST: f64 = 0.1;
-/// The part of a cold worker's budget that is used: its slots and the jobs' lengths are estimates. More of it where
-/// many dispatchers share one: few of those that may send in a window have a job for it then.
+/// The part of a cold worker's budget that is used: its slots and the jobs' lengths are estimates. All of it is given
+/// out where many dispatchers share one: few of those that may send in a window have a job for it then.
 const SURE: f64 = 0.5;
-const SURE_OF_MANY: f64 = 0.8;
+const SURE_OF_MANY: f64 = 1.0;
 /// An odd number that spreads whatever it is multiplied with over the upper bits.
 const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
 /// A failing worker is first left alone for as long as a slow connect takes, twice as long each time.
@@ -136,14 +139,13 @@
         self.forget_stale(now);
         let wait = self.charge(now, job.tenant);
         let request = Request::new(now, job, wait);
+        if self.asks() {
+            return self.ask(now, request, out);
+        }
         let shut = request.wait > 0.0 && !self.gate(now, &request);
         if shut || self.jammed(now, &request) {
             return out.push(self.refusal(request.job.id, request.wait));
         }
-        let most_unheard = 2.0 * (self.fleet.heard.len() as f64) < self.fleet.ready(None).0;
-        if most_unheard && self.settings.limits.probes {
-            return self.ask(now, request, out);
-        }
         self.probe(now, None, out);
         self.place(now, request, out);
     }
@@ -272,7 +274,9 @@
 
     /// Whether it shows room for the request.
     fn roomy(&self, now: Micros, request: &Request, w: usize) -> bool {
-        let room = self.free(now, w) >= request.job.slots;
+        // What was not charged leaves a slot to what is.
+        let spared = f64::from(u8::from(request.wait > 0.0 && self.asks()));
+        let room = self.free(now, w) >= request.job.slots + spared;
         room && now >= self.fleet[w].avoid_until && self.may(now, request, w)
     }
 
@@ -351,13 +355,20 @@
         drawn.get(chosen).copied()
     }
 
+    /// Whether jobs ask before they go, since most of the fleet is not heard of.
+    fn asks(&self) -> bool {
+        let heard = self.fleet.heard.len() as f64;
+        self.settings.limits.probes && 2.0 * heard < self.fleet.ready(None).0
+    }
+
     /// Asks some workers on behalf of a job, which waits for a part of what it can spare. Guards against a
-    /// blind draw where most of the fleet is not heard of, and against waiting where others are free.
+    /// blind draw, and against a gate or a sight of a jam that rests on the few workers heard of.
     fn ask(&mut self, now: Micros, mut request: Request, out: &mut Vec<Action>) {
         for _ in 0..ASKED {
             request.awaited.extend(self.probe(now, Some(&request), out));
         }
-        if request.awaited.is_empty() && request.attempts.is_empty() {
+        let out_still = request.attempts.iter().any(|a| a.outcome.is_none());
+        if request.awaited.is_empty() && !out_still {
             return self.place(now, request, out);
         }
         let (id, spare) = (request.job.id, self.spare(&request.job));
@@ -367,18 +378,28 @@
         self.requests.insert(id, request);
     }
 
-    /// The time to ask, or to ask no longer: a job not yet sent is drawn all the same if it was charged.
+    /// The time to ask, or to ask no longer: a job that no worker has goes where there is room, asks others while its
+    /// patience lasts, and is given up then. Never later than its deadline: it would ask without end.
     fn look(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let asked = self.held.contains(&id);
         self.held.retain(|held| *held != id);
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
-        let unsent = request.attempts.is_empty() && !request.ended;
-        if unsent && request.wait > 0.0 {
-            out.push(self.refusal(id, request.wait));
-        } else if unsent {
+        let unsent = !request.ended && request.attempts.iter().all(|a| a.outcome.is_some());
+        let roomy = self
+            .fleet
+            .heard
+            .iter()
+            .any(|&w| self.roomy(now, &request, w));
+        let came = Micros(request.deadline.0 - request.job.time_left.0);
+        let patience = Micros::from_secs(self.spare(&request.job).secs() * PATIENCE);
+        if unsent && roomy {
             self.place(now, request, out);
+        } else if unsent && now < request.deadline && now - came < patience {
+            self.ask(now, request, out);
+        } else if unsent {
+            self.give_up(request, out);
         } else if !asked && self.move_at(&request).is_some_and(|at| now >= at) {
             self.ask(now, request, out);
         } else {
@@ -455,7 +476,7 @@
         let (id, effect) = (request.job.id, self.class(&request.job).effect);
         let harmless = matches!(effect, Effect::Safe | Effect::Keyed(Group::All, _));
         if harmless || request.attempts.iter().all(Attempt::never_ran) {
-            out.push(self.refusal(id, 0.0));
+            out.push(self.refusal(id, request.wait));
         } else {
             out.push(Action::Fail(id));
         }
@@ -489,7 +510,10 @@
         if e.closed || request.ended || out_still {
             return self.keep(request, e.closed);
         }
-        self.place(now, request, out);
+        match self.asks() {
+            true => self.ask(now, request, out),
+            false => self.place(now, request, out),
+        }
     }
 
     fn started(&mut self, now: Micros, id: RequestId, attempt: u32) {
