Tell the events of a session opened anew once, not over two connections

Cause, client/src/client.rs, `link`: a client with events opens a session over the connection it has, then lets another take its place which knows how far it has come; what the first one tells in between was passed on as well, and told again by the second. Ruled out: the server (sessions.rs tells each reader a gap once). Events with a number are now left to the connection that counts them.

--- a/client/src/client.rs
+++ b/client/src/client.rs
@@ -124,8 +124,11 @@
                 Event::NewState { number, .. } => *number,
                 Event::Gap { to, .. } => Some(*to),
             };
-            if let (Some(number), Some(seen)) = (number, &seen) {
-                seen.fetch_max(number, Ordering::SeqCst);
+            match (number, &seen) {
+                (Some(number), Some(seen)) => drop(seen.fetch_max(number, Ordering::SeqCst)),
+                // Of the connection over which the session was opened: the one that takes its place tells it anew.
+                (Some(_), None) => return,
+                (None, _) => {}
             }
             if let Some(tell) = &tell {
                 tell(event);
