--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,12 +17,13 @@
 const ASKED: usize = 4;
 /// The part of what it can spare that a job waits for their answers, or at a worker before it asks others.
 const ASKING: f64 = 0.05;
-/// The part of what it can spare for which a job looks for room. Later it would only wait at some worker, in the way of
-/// jobs that can still be in time.
+/// The part of what it can spare for which a job looks for room. Later it would only wait at some worker, in
+/// the way of jobs that can still be in time.
 const PATIENCE: f64 = 0.3;
-/// The discount for many dispatchers: the power of its free slots by which a worker is drawn rises from one, where a
-/// dispatcher is alone, by so much. A report of more room is the likelier to hold while others send on it as well: of
-/// jobs sent by 100 on an answer of the moment, a tenth waited where six slots were free, half where one was.
+/// The discount for many dispatchers: the power of its free slots by which a worker is drawn rises from one,
+/// where a dispatcher is alone, by so much. A report of more room is the likelier to hold while others send
+/// on it as well: of jobs sent by 100 on an answer of the moment, a tenth waited where six slots were free,
+/// half where one was.
 const SHARPER: f64 = 5.0;
 /// How much likelier a worker of the own zone is drawn than one alike of another: a crossing has its price.
 const NEAR: f64 = 2.0;
@@ -32,8 +33,9 @@
 const UNEVEN_S: f64 = 20.0;
 /// Weight of the newest value in the running means; about the last twenty values count.
 const NEWEST: f64 = 0.1;
-/// The part of a cold worker's budget that is used: its slots and the jobs' lengths are estimates. All of it is given
-/// out where many dispatchers share one: few of those that may send in a window have a job for it then.
+/// The part of a cold worker's budget that is used: its slots and the jobs' lengths are estimates. All of it
+/// is given out where many dispatchers share one: few of those that may send in a window have a job for it
+/// then.
 const SURE: f64 = 0.5;
 const SURE_OF_MANY: f64 = 1.0;
 /// An odd number that spreads whatever it is multiplied with over the upper bits.
@@ -295,8 +297,8 @@
         }
     }
 
-    /// Free slots: what others leave, less own attempts out. What was heard of that fades, as their jobs come and
-    /// go, to the mean. Where own jobs wait there is no room, whatever a report says.
+    /// Free slots: what others leave, less own attempts out. What was heard of that fades, as their jobs come
+    /// and go, to the mean. Where own jobs wait there is no room, whatever a report says.
     fn free(&self, now: Micros, w: usize) -> f64 {
         let worker = &self.fleet[w];
         if !worker.waiting.is_empty() {
@@ -331,8 +333,9 @@
         self.weighted(now, if well.is_empty() { resting } else { well })
     }
 
-    /// A random one of these, the likelier the more free slots it has, and in the own zone. Not the own zone alone
-    /// while it shows any room: all dispatchers of the busier zone would crowd there, beside idle workers.
+    /// A random one of these, the likelier the more free slots it has, and in the own zone. Not the own zone
+    /// alone while it shows any room: all dispatchers of the busier zone would crowd there, beside idle
+    /// workers.
     fn weighted(&mut self, now: Micros, mut drawn: Vec<usize>) -> Option<usize> {
         let power = 1.0 + SHARPER * (1.0 - 1.0 / self.dispatchers);
         let weight = |&w: &usize| match self.fleet[w].entry.zone == self.settings.zone {
@@ -378,8 +381,9 @@
         self.requests.insert(id, request);
     }
 
-    /// The time to ask, or to ask no longer: a job that no worker has goes where there is room, asks others while its
-    /// patience lasts, and is given up then. Never later than its deadline: it would ask without end.
+    /// The time to ask, or to ask no longer: a job that no worker has goes where there is room, asks others
+    /// while its patience lasts, and is given up then. Never later than its deadline: it would ask without
+    /// end.
     fn look(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let asked = self.held.contains(&id);
         self.held.retain(|held| *held != id);
@@ -407,8 +411,8 @@
         }
     }
 
-    /// A worker has told its free slots: the first of the held jobs goes that has heard all that it asked, or asked
-    /// others, and can go somewhere now. The first answer with room is seldom the best.
+    /// A worker has told its free slots: the first of the held jobs goes that has heard all that it asked, or
+    /// asked others, and can go somewhere now. The first answer with room is seldom the best.
     fn settle(&mut self, now: Micros, w: usize, out: &mut Vec<Action>) {
         let worker = self.fleet[w].entry.worker;
         let mut asked = None;
@@ -433,9 +437,9 @@
         }
     }
 
-    /// When a request whose attempts all wait looks for another worker, if it may have a copy: only where its worker
-    /// has failed others meanwhile. A copy does not take back the first, which still runs one day: where all
-    /// dispatchers move what waits, the copies make the next jobs wait, until little else runs.
+    /// When a request whose attempts all wait looks for another worker, if it may have a copy: only where its
+    /// worker has failed others meanwhile. A copy does not take back the first, which still runs one day:
+    /// where all dispatchers move what waits, the copies make the next jobs wait, until little else runs.
     fn move_at(&self, request: &Request) -> Option<Micros> {
         let (limits, last) = (&self.settings.limits, request.attempts.last()?);
         let copies = limits.second_copies && self.class(&request.job).effect != Effect::Unsafe;
@@ -583,9 +587,10 @@
     }
 
     /// Whether a cold worker can take the job within this dispatcher's part of what it bears in a window,
-    /// whatever it reports. Guards the fourth rule. Where a part would be less than a job, some dispatchers have a
-    /// whole one of any length, others at each worker and in each window: were they always the same, a worker would be
-    /// left to what a few of them happen to bring. One that has just started has forgotten what it sent.
+    /// whatever it reports. Guards the fourth rule. Where a part would be less than a job, some dispatchers
+    /// have a whole one of any length, others at each worker and in each window: were they always the same, a
+    /// worker would be left to what a few of them happen to bring. One that has just started has forgotten
+    /// what it sent.
     fn cold_room(&self, now: Micros, w: usize, job: &Job) -> bool {
         let (worker, rules) = (&self.fleet[w], &self.settings.rules);
         let age = worker.entry.started.map(|at| now - at);
@@ -638,8 +643,8 @@
         self.fleet.tidy();
     }
 
-    /// Probes the next worker of the walk, or the next that may take this request, and tells which. Each job brings
-    /// its probes, so that their price and work stay bounded however many workers there are.
+    /// Probes the next worker of the walk, or the next that may take this request, and tells which. Each job
+    /// brings its probes, so that their price and work stay bounded however many workers there are.
     fn probe(
         &mut self,
         now: Micros,
