Draw in proportion to free slots: many nodes read one report

The more room was told, the longer the job waited: a report stands for up to 1.5 s, each worker is asked about ten times a second, and all of those that read the same room were drawn to it. Ruled out: rejections (5 to 121 in 2.5 s, in the burst only), hold before the send (4 ms), reports not heard (answers of the moment make two thirds of the calls).

Cause: the power of free slots in `weighted`, which rose to six with the number of dispatchers (SHARPER). It was measured at 100 dispatchers, where fewer read a report. It goes away; the draw is in proportion to free slots, as DESIGN says.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,11 +20,6 @@
 /// The part of what it can spare for which a job looks for room. Later it would only wait at some worker, in
 /// the way of jobs that can still be in time.
 const PATIENCE: f64 = 0.3;
-/// The discount for many dispatchers: the power of its free slots by which a worker is drawn rises from one,
-/// where a dispatcher is alone, by so much. A report of more room is the likelier to hold while others send
-/// on it as well: of jobs sent by 100 on an answer of the moment, a tenth waited where six slots were free,
-/// half where one was.
-const SHARPER: f64 = 5.0;
 /// How much likelier a worker of the own zone is drawn than one alike of another: a crossing has its price.
 const NEAR: f64 = 2.0;
 /// A bucket holds the mean of so many seconds, or two standard deviations of the time below if more.
@@ -333,14 +328,14 @@
         self.weighted(now, if well.is_empty() { resting } else { well })
     }
 
-    /// A random one of these, the likelier the more free slots it has, and in the own zone. Not the own zone
-    /// alone while it shows any room: all dispatchers of the busier zone would crowd there, beside idle
-    /// workers.
+    /// A random one of these, the likelier the more free slots it has, and in the own zone. No sharper than
+    /// that: all dispatchers that ask while a report stands read the same one, and if they were drawn to the
+    /// most room rather than in proportion to it, they would fill it many times over. Nor the own zone alone
+    /// while it shows any room: those of the busier zone would crowd there, beside idle workers.
     fn weighted(&mut self, now: Micros, mut drawn: Vec<usize>) -> Option<usize> {
-        let power = 1.0 + SHARPER * (1.0 - 1.0 / self.dispatchers);
         let weight = |&w: &usize| match self.fleet[w].entry.zone == self.settings.zone {
-            true => NEAR * self.free(now, w).powf(power),
-            false => self.free(now, w).powf(power),
+            true => NEAR * self.free(now, w),
+            false => self.free(now, w),
         };
         let mut weights: Vec<f64> = drawn.iter().map(weight).collect();
         if weights.iter().sum::<f64>() <= 0.0 {
