Shut down what a test closes: a forked child kept listeners and connections open

The node was right. The tests run side by side in one process, and each forks; until its exec a child holds copies of all sockets of all tests. `refuse w1` only closed the listener, so for that moment the child went on listening, took the node's connection and reset it at its exec: the job may have run, and a keyed one is not repeated. `closes` failed likewise (gone.txt:33, links.txt:36: the node was not told of the close), and an address that was free for a moment (upgrade_alone.txt:4, :14, :34) could be taken by another test.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,9 +1,13 @@
 //! Plays a recorded exchange against the program. `exchanges/README` tells how the files are written.
+//!
+//! Tests run side by side, and each forks: until its exec, a child has copies of all sockets of all tests. So a close
+//! alone may leave a connection or a listener open for a while; what is to be closed here is shut down.
 
 use std::collections::HashMap;
 use std::fs;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
@@ -37,6 +41,9 @@
     folder: PathBuf,
     listeners: HashMap<String, TcpListener>,
     connections: HashMap<String, Connection>,
+    /// Sockets that are bound to the addresses in use and never listen: an address whose listener is gone refuses,
+    /// and is given to no other test.
+    bound: Vec<OwnedFd>,
     /// Addresses, and what was read in a `<name>`.
     values: HashMap<String, String>,
     /// What the node's file said at the start.
@@ -67,6 +74,7 @@
         folder,
         listeners: HashMap::new(),
         connections: HashMap::new(),
+        bound: Vec::new(),
         values: [
             ("64k".to_owned(), "x".repeat(65536)),
             ("60k".to_owned(), "y".repeat(61440)),
@@ -156,7 +164,10 @@
                 rustix::net::listen(&self.listeners[*listener], 0).unwrap();
                 self.connect("filler", listener);
             }
-            ["refuse", listener] => drop(self.listeners.remove(*listener)),
+            ["refuse", listener] => {
+                let listener = self.listeners.remove(*listener).expect("listens");
+                rustix::net::shutdown(&listener, rustix::net::Shutdown::Both).unwrap();
+            }
             ["crowd", count] => {
                 for n in 0..count.parse().unwrap() {
                     self.connect(&format!("crowd {n}"), "consumers");
@@ -176,7 +187,11 @@
                     self.fail("bytes that nobody asked for");
                 }
             }
-            [name, "closes"] => drop(self.connections.remove(*name)),
+            [name, "closes"] => {
+                // The peer may have closed before.
+                let connection = self.connections.remove(*name).expect("connected");
+                let _ = connection.stream.shutdown(std::net::Shutdown::Both);
+            }
             [name, "half-closes"] => {
                 let half = std::net::Shutdown::Write;
                 self.connections[*name].stream.shutdown(half).unwrap();
@@ -226,8 +241,21 @@
         signalled(self.child.as_ref().unwrap(), signal);
     }
 
+    /// A free address, kept from others.
+    fn address(&mut self) -> String {
+        use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
+        let (family, flags) = (AddressFamily::INET, SocketFlags::CLOEXEC);
+        let socket = net::socket_with(family, SocketType::STREAM, flags, None).unwrap();
+        // One that listens may bind beside it, where it sets this as well.
+        sockopt::set_socket_reuseaddr(&socket, true).unwrap();
+        net::bind(&socket, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let addr = SocketAddr::try_from(net::getsockname(&socket).unwrap()).unwrap();
+        self.bound.push(socket);
+        addr.to_string()
+    }
+
     fn listen(&mut self, name: &str) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = TcpListener::bind(self.address()).unwrap();
         listener.set_nonblocking(true).unwrap();
         let addr = listener.local_addr().unwrap().to_string();
         self.values.insert(name.to_owned(), addr);
@@ -266,7 +294,8 @@
         self.config = config;
         let ops = ops.map(str::to_owned);
         let front = self.front(front);
-        self.spawn("127.0.0.1:0", ops.as_deref(), descriptors, front);
+        let listen = self.address();
+        self.spawn(&listen, ops.as_deref(), descriptors, front);
     }
 
     /// The front's file, if there is one.
