--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -190,16 +190,9 @@
         outcome: Outcome,
         report: Option<Report>,
     ) {
-        log::trace!(
-            "probe worker {:016x} {outcome:?}: free {}",
-            worker.0,
-            relay::Told(report)
-        );
         match self.awaited.get_mut(&worker) {
             Some(awaited) => awaited.probed = Some((outcome, report)),
-            None => self
-                .pending
-                .push_back(Event::Probed(worker, outcome, report)),
+            None => self.learn(worker, outcome, report),
         }
         self.meet(now, worker);
     }
@@ -227,12 +220,22 @@
                 held: held.map(f64::from),
                 ..report
             });
-            self.pending
-                .push_back(Event::Probed(worker, outcome, report));
+            self.learn(worker, outcome, report);
         }
         self.decide(now);
     }
 
+    /// Has the dispatcher told what is known of a worker that it asked about.
+    fn learn(&mut self, worker: WorkerId, outcome: Outcome, report: Option<Report>) {
+        log::trace!(
+            "probe worker {:016x} {outcome:?}: free {}",
+            worker.0,
+            relay::Told(report)
+        );
+        self.pending
+            .push_back(Event::Probed(worker, outcome, report));
+    }
+
     /// Whether the directory has named any worker yet.
     pub fn has_workers(&self) -> bool {
         self.ready_workers
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -5,7 +5,7 @@
 use crate::net::{Net, Peer, Ready, Token};
 use crate::party::{Hub, Party};
 use marbledeck::{Micros, WorkerId};
-use marbledeck_peers::{message, short, Asked, Peers};
+use marbledeck_peers::{message, Asked, Peers, Questions};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -24,8 +24,7 @@
     peer: Peer,
     socket: Option<Token>,
     again: Micros,
-    /// The workers asked about, by their short names, and until when the answer is of use.
-    asked: HashMap<u32, (WorkerId, Micros)>,
+    asked: Questions,
 }
 
 impl Tier {
@@ -37,7 +36,7 @@
             peer,
             socket: None,
             again: now,
-            asked: HashMap::new(),
+            asked: Questions::default(),
             config,
         };
         tier.open(now, net);
@@ -76,17 +75,16 @@
                 continue;
             };
             let told = self.peers.receive(now, from, &bytes[..len]);
-            let asked = told.and_then(|told| self.asked.remove(&told.worker).zip(Some(told)));
-            if let Some(((worker, _), told)) = asked {
+            let asked = told.and_then(|told| self.asked.answered(told.worker).zip(Some(told)));
+            if let Some((worker, told)) = asked {
                 hub.core.told_held(now, worker, told.calls);
             }
         }
     }
 
     fn next_wake(&self) -> Option<Micros> {
-        let asked = self.asked.values().map(|(_, until)| *until).min();
         let again = self.socket.is_none().then_some(self.again);
-        [asked, again, self.peers.next_wake()]
+        [self.asked.next(), again, self.peers.next_wake()]
             .into_iter()
             .flatten()
             .min()
@@ -96,12 +94,9 @@
         if self.socket.is_none() && self.again <= now {
             self.open(now, &mut hub.net);
         }
-        let over = self.asked.iter().filter(|(_, (_, until))| *until <= now);
-        for short in over.map(|(short, _)| *short).collect::<Vec<_>>() {
-            if let Some((worker, _)) = self.asked.remove(&short) {
-                self.peers.unanswered(worker);
-                hub.core.told_held(now, worker, None);
-            }
+        while let Some(worker) = self.asked.overdue(now) {
+            self.peers.unanswered(worker);
+            hub.core.told_held(now, worker, None);
         }
         self.peers.wake(now);
     }
@@ -118,7 +113,9 @@
             }
             Asked::Sent if self.socket.is_some() => {
                 hub.core.ask_held(worker);
-                self.asked.insert(short(worker), (worker, now + WAITS));
+                if let Some(other) = self.asked.open(worker, now + WAITS) {
+                    hub.core.told_held(now, other, None);
+                }
             }
             Asked::Sent | Asked::Nothing => {}
         }
--- a/peers/src/ledger.rs
+++ b/peers/src/ledger.rs
@@ -57,6 +57,8 @@
     /// The nodes that left a question open and were not heard since.
     silent: Vec<bool>,
     keepers: HashMap<u32, usize>,
+    /// When words that are void are next looked for.
+    sweep: Micros,
     out: VecDeque<(usize, Message)>,
 }
 
@@ -71,6 +73,7 @@
             kept: HashMap::new(),
             silent: vec![false; nodes],
             keepers: HashMap::new(),
+            sweep: now,
             out: VecDeque::new(),
         }
     }
@@ -152,6 +155,11 @@
         }
     }
 
+    /// How many words of other nodes are held, void ones included until the next sweep.
+    pub fn words(&self) -> usize {
+        self.kept.values().map(HashMap::len).sum()
+    }
+
     /// When [`Peers::wake`] is next wanted.
     pub fn next_wake(&self) -> Option<Micros> {
         self.own.values().map(|own| own.due).min()
@@ -168,10 +176,15 @@
                 self.own.remove(&worker);
             }
         }
-        self.kept.retain(|_, words| {
-            words.retain(|_, word| now - word.at < EXPIRES);
-            !words.is_empty()
-        });
+        // No count reads a void word, so they may stay for a while: a walk over all on each turn of the node's loop
+        // would be work that any peer could make.
+        if self.sweep <= now {
+            self.sweep = now + REFRESH;
+            self.kept.retain(|_, words| {
+                words.retain(|_, word| now - word.at < EXPIRES);
+                !words.is_empty()
+            });
+        }
     }
 
     /// Tells the keeper of this worker what this node has out there.
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -9,8 +9,10 @@
 
 mod ledger;
 pub mod message;
+mod questions;
 
 pub use ledger::{Asked, Peers, Told, EXPIRES, MOST_WORKERS, REFRESH};
+pub use questions::Questions;
 
 use marbledeck::WorkerId;
 
--- a/peers/tests/cases.rs
+++ b/peers/tests/cases.rs
@@ -2,8 +2,11 @@
 
 use marbledeck::{Micros, WorkerId};
 use marbledeck_peers::message::{Message, LONGEST};
-use marbledeck_peers::{keeper, short, Asked, Peers, Told, EXPIRES, MOST_WORKERS, REFRESH};
+use marbledeck_peers::{
+    keeper, short, Asked, Peers, Questions, Told, EXPIRES, MOST_WORKERS, REFRESH,
+};
 use proptest::prelude::*;
+use std::collections::HashMap;
 
 const WORKER: WorkerId = WorkerId(0xe6a1_28c4_0675_47b0);
 
@@ -267,3 +270,67 @@
         }
     }
 }
+
+/// The node's loop wakes the counts on every turn; what a lying node has said is walked over once in a while only.
+#[test]
+fn void_words_are_looked_for_once_in_a_while() {
+    let mut node = Peers::new(0, 300, Micros(0));
+    let kept = (0..).filter(|worker| keeper(*worker, 300) == 0).take(9);
+    for worker in kept {
+        let word = Message::Held {
+            worker,
+            number: 1,
+            calls: 1,
+        };
+        node.receive(Micros(0), 1, &word.bytes());
+    }
+    node.wake(EXPIRES);
+    assert_eq!(node.words(), 0, "void words are forgotten");
+    let late = EXPIRES + Micros(REFRESH.0 / 2);
+    let worker = (0..).find(|worker| keeper(*worker, 300) == 0).unwrap();
+    let word = Message::Held {
+        worker,
+        number: 9,
+        calls: 1,
+    };
+    node.receive(Micros(late.0 - EXPIRES.0), 1, &word.bytes());
+    assert_eq!(node.words(), 1);
+    node.wake(late);
+    assert_eq!(node.words(), 1, "not before the next sweep");
+    node.wake(EXPIRES + REFRESH);
+    assert_eq!(node.words(), 0);
+}
+
+proptest! {
+    /// Whoever probes a worker waits for the keeper's answer: each question ends once, also where two workers share a
+    /// short name.
+    #[test]
+    fn each_question_ends_exactly_once(steps in prop::collection::vec((0..3u8, 0..4u64, 0..2u64), 0..80)) {
+        // Pairs of one short name: what is added to the lower half is added to the upper one.
+        let worker = |n: u64, pair: u64| WorkerId((n ^ pair << 8) | pair << 40);
+        prop_assert_eq!(short(worker(3, 0)), short(worker(3, 1)));
+        let (mut questions, mut open) = (Questions::default(), HashMap::new());
+        let mut now = Micros(0);
+        for (step, n, pair) in steps {
+            now = now + Micros(10);
+            let ended = match step {
+                // Nothing asks again while its question is open.
+                0 if !open.contains_key(&worker(n, pair)) => {
+                    let displaced = questions.open(worker(n, pair), now + Micros(35));
+                    open.insert(worker(n, pair), now + Micros(35));
+                    displaced
+                }
+                1 => questions.answered(short(worker(n, 0))),
+                _ => questions.overdue(now),
+            };
+            if let Some(ended) = ended {
+                prop_assert!(open.remove(&ended).is_some(), "ended twice, or never asked");
+            }
+        }
+        prop_assert_eq!(questions.next(), open.values().min().copied());
+        while let Some(ended) = questions.overdue(now + Micros(100)) {
+            prop_assert!(open.remove(&ended).is_some());
+        }
+        prop_assert!(open.is_empty(), "never ended: {:?}", open);
+    }
+}
