Ask for counts anew before each send, and go to the freest that was counted

Of the calls sent between 12 and 15 s, when workers are replaced and the fleet is too small, those at old workers waited 1.1 s (median) and 3.3 s (90th percentile) for a start; before, 5 ms. The keeper's counts were right: at the send they gave 8 to 28 calls at workers that run 4 to 7. But only 48% of these calls followed an answer that their own node had had in the last 0.1 s; 39% rested on one more than half a second old, 8% on none at all (from 0 to 9 s: 94% on a fresh one).

The causes, in decide.rs: (1) `asks()` held only while less than half of the fleet was heard of. Where none has room each job asks up to 24 workers, so a node soon remembers most of them, and then sent at once on what it remembered. (2) `free()` lets what was heard fade to the mean, so that a full worker becomes `roomy` again after a second, for all that remember it. (3) `weighted` drew in proportion on counts as on reports. Reports want that, since ten jobs read each of them; a count is some milliseconds old and known to those few only that ask just then. Ruled out: slots overestimated, wrong counts, slow cold workers (they run class 0 in 0.93 s in their first second, 0.63 to 0.7 s from their third on; 0.65 s at old ones).

The change: counts are asked for anew, for each job, as long as they can be had; an older one is no room; of those that were counted the freest is taken, a slot of the own zone weighing two. Reports are drawn on as before.

Tests: with `keep_freest` left out `a_job_goes_to_the_freest_that_was_counted` fails; the one on old counts fails where they count as reports do.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,7 +20,7 @@
 /// The part of what it can spare for which a job looks for room. Later it would only wait at some worker, in
 /// the way of jobs that can still be in time.
 const PATIENCE: f64 = 0.3;
-/// How much likelier a worker of the own zone is drawn than one alike of another: a crossing has its price.
+/// How much more a free slot of the own zone weighs than one of another: a crossing has its price.
 const NEAR: f64 = 2.0;
 /// A bucket holds the mean of so many seconds, or two standard deviations of the time below if more.
 const BURST_S: f64 = 4.0;
@@ -269,8 +269,13 @@
             && self.cold_room(now, w, job)
     }
 
-    /// Whether it shows room for the request.
+    /// Whether it shows room for the request. What dispatchers counted together is asked for anew: what it
+    /// fades to would be room at full workers, too, for all that remember them.
     fn roomy(&self, now: Micros, request: &Request, w: usize) -> bool {
+        let old = |at| now - at > self.asking(&request.job);
+        if self.fleet[w].counted.is_some_and(old) {
+            return false;
+        }
         // What was not charged leaves a slot to what is.
         let spared = f64::from(u8::from(request.wait > 0.0 && self.asks()));
         let room = self.free(now, w) >= request.job.slots + spared;
@@ -309,8 +314,9 @@
 
     fn draw(&mut self, now: Micros, request: &Request) -> Option<usize> {
         let roomy = self.fleet.heard.iter().copied();
-        let roomy: Vec<usize> = roomy.filter(|&w| self.roomy(now, request, w)).collect();
+        let mut roomy: Vec<usize> = roomy.filter(|&w| self.roomy(now, request, w)).collect();
         if !roomy.is_empty() {
+            self.keep_freest(now, &mut roomy);
             return self.weighted(now, roomy);
         }
         // A random worker, taken in proportion to its weight: the same draw without a walk over the fleet.
@@ -328,16 +334,32 @@
         self.weighted(now, if well.is_empty() { resting } else { well })
     }
 
+    /// Where calls were counted, keeps the freest of those workers. None but the few that ask in the same
+    /// milliseconds see the same count, so nothing speaks against the most room: with it the longest queue of
+    /// all grows as the double logarithm of the fleet (Azar et al. 1994).
+    fn keep_freest(&self, now: Micros, roomy: &mut Vec<usize>) {
+        let counted = |w: usize| self.fleet[w].counted.is_some();
+        let most = roomy.iter().filter(|&&w| counted(w));
+        if let Some(most) = most.map(|&w| self.weight(now, w)).reduce(f64::max) {
+            // Slots are whole; what fades meanwhile is less than half of one.
+            roomy.retain(|&w| counted(w) && self.weight(now, w) > most - 0.5);
+        }
+    }
+
+    /// What a worker weighs in a draw: its free slots, those of the own zone more.
+    fn weight(&self, now: Micros, w: usize) -> f64 {
+        match self.fleet[w].entry.zone == self.settings.zone {
+            true => NEAR * self.free(now, w),
+            false => self.free(now, w),
+        }
+    }
+
     /// A random one of these, the likelier the more free slots it has, and in the own zone. No sharper than
     /// that: all dispatchers that ask while a report stands read the same one, and if they were drawn to the
     /// most room rather than in proportion to it, they would fill it many times over. Nor the own zone alone
     /// while it shows any room: those of the busier zone would crowd there, beside idle workers.
     fn weighted(&mut self, now: Micros, mut drawn: Vec<usize>) -> Option<usize> {
-        let weight = |&w: &usize| match self.fleet[w].entry.zone == self.settings.zone {
-            true => NEAR * self.free(now, w),
-            false => self.free(now, w),
-        };
-        let mut weights: Vec<f64> = drawn.iter().map(weight).collect();
+        let mut weights: Vec<f64> = drawn.iter().map(|&w| self.weight(now, w)).collect();
         if weights.iter().sum::<f64>() <= 0.0 {
             // No room anywhere: an even draw, among the workers where the fewest own jobs wait.
             let fewest = drawn.iter().map(|&w| self.fleet[w].waiting.len()).min();
@@ -353,10 +375,18 @@
         drawn.get(chosen).copied()
     }
 
-    /// Whether jobs ask before they go, since most of the fleet is not heard of.
+    /// Whether jobs ask before they go: most of the fleet is not heard of, or what dispatchers count together
+    /// can be had for the asking.
     fn asks(&self) -> bool {
-        let heard = self.fleet.heard.len() as f64;
-        self.settings.limits.probes && 2.0 * heard < self.fleet.ready(None).0
+        let heard = &self.fleet.heard;
+        let counted = || heard.iter().any(|&w| self.fleet[w].counted.is_some());
+        let few = 2.0 * (heard.len() as f64) < self.fleet.ready(None).0;
+        self.settings.limits.probes && (few || counted())
+    }
+
+    /// How long a job waits for the answers of those it asked, or at a worker before it asks others.
+    fn asking(&self, job: &Job) -> Micros {
+        Micros::from_secs(self.spare(job).secs() * ASKING)
     }
 
     /// Asks some workers on behalf of a job, which waits for a part of what it can spare. Guards against a
@@ -369,8 +399,7 @@
         if request.awaited.is_empty() && !out_still {
             return self.place(now, request, out);
         }
-        let (id, spare) = (request.job.id, self.spare(&request.job));
-        let until = now + Micros::from_secs(spare.secs() * ASKING);
+        let (id, until) = (request.job.id, now + self.asking(&request.job));
         out.push(Action::Timer(until.min(request.deadline), id.0));
         self.held.push(id);
         self.requests.insert(id, request);
@@ -386,11 +415,8 @@
             return;
         };
         let unsent = !request.ended && request.attempts.iter().all(|a| a.outcome.is_some());
-        let roomy = self
-            .fleet
-            .heard
-            .iter()
-            .any(|&w| self.roomy(now, &request, w));
+        let mut heard = self.fleet.heard.iter();
+        let roomy = heard.any(|&w| self.roomy(now, &request, w));
         let came = Micros(request.deadline.0 - request.job.time_left.0);
         let patience = Micros::from_secs(self.spare(&request.job).secs() * PATIENCE);
         if unsent && roomy {
@@ -442,7 +468,7 @@
         let failed = |w: usize| self.fleet[w].avoid_until > last.sent;
         let failed = self.fleet.find(last.worker).is_some_and(failed);
         let may = copies && told && failed && last.waits() && request.idle();
-        may.then(|| last.sent + Micros::from_secs(self.spare(&request.job).secs() * ASKING))
+        may.then(|| last.sent + self.asking(&request.job))
     }
 
     /// Sends the request to a drawn worker, or ends it where none can take it.
@@ -461,9 +487,11 @@
         for i in earlier.filter(|&i| request.attempts[i].waits()) {
             out.push(Action::Cancel(request.job.id, i as u32));
         }
-        let patience = Micros::from_secs(self.spare(&request.job).secs() * ASKING);
         if self.settings.limits.second_copies {
-            out.push(Action::Timer(now + patience, request.job.id.0));
+            out.push(Action::Timer(
+                now + self.asking(&request.job),
+                request.job.id.0,
+            ));
         }
         self.requests.insert(request.job.id, request);
     }
@@ -549,6 +577,7 @@
             kind.slots = kind.slots.max(free);
             let slots = kind.slots.max(1.0);
             // What dispatchers count together is of this moment; a report is up to seconds old.
+            worker.counted = report.held.map(|_| now);
             let free = report.held.map_or(free, |held| (slots - held).max(0.0));
             let left = slots.min(free + worker.open);
             worker.left = Some((left, now));
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,6 +52,8 @@
     /// Slots that others left when it was last heard of, free or with own attempts, and when that was. Not the slots
     /// that they held: how many there are is learned from later reports.
     pub left: Option<(f64, Micros)>,
+    /// When that was what all dispatchers together had counted, not what the worker told.
+    pub counted: Option<Micros>,
     /// Slots of own attempts that are out.
     pub open: f64,
     /// When own attempts were sent that have not started yet, oldest first.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -82,9 +82,20 @@
         self.out.iter().filter(kept).cloned().collect()
     }
 
+    /// A worker tells of its free slots.
     pub fn report(&mut self, now: u64, worker: u32, free: f64) {
+        self.probed(now, worker, free, None);
+    }
+
+    /// A worker tells that all of nine slots are free; all dispatchers together have so many calls out there.
+    pub fn counted(&mut self, now: u64, worker: u32, held: f64) {
+        self.probed(now, worker, 9.0, Some(held));
+    }
+
+    fn probed(&mut self, now: u64, worker: u32, free: f64, held: Option<f64>) {
         let report = Report {
             free_slots: Some(free),
+            held,
             ..Report::default()
         };
         self.at(
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -88,6 +88,77 @@
     assert_eq!(sent(&rig.out), Some(asked[2]));
 }
 
+/// What all dispatchers count together is known to those few only that ask in the same milliseconds: the job goes to the
+/// freest of those counted, not to it in proportion, and not to one that told of more room itself.
+#[test]
+fn a_job_goes_to_the_freest_that_was_counted() {
+    for seed in 0..60 {
+        let mut rig = Rig::seeded(large(Effect::Safe, 600), 300, seed);
+        // Known since a moment ago, by its own report.
+        rig.report(0, 299, 9.0);
+        rig.at(1000, job_of(1, 0));
+        let asked = probes(&rig.out);
+        for (n, held) in [1.0, 3.0, 2.0, 2.0].into_iter().enumerate() {
+            rig.counted(5000, asked[n].0 as u32, held);
+        }
+        assert_eq!(sent(&rig.out), Some(asked[0]), "seed {seed}");
+    }
+}
+
+/// A slot of the own zone weighs two of another, whose crossing would have its price.
+#[test]
+fn the_freest_is_sought_in_the_own_zone_first() {
+    let mut s = large(Effect::Safe, 600);
+    s.zone = ZoneId(3);
+    for (held, to) in [(5.0, 12), (7.0, 10)] {
+        // The walk of the probes begins after the seed; the own zone has 12 to 15.
+        let mut rig = Rig::seeded(s.clone(), 300, 9);
+        rig.at(0, job_of(1, 0));
+        for (n, held) in [3.0, 9.0, held, 9.0].into_iter().enumerate() {
+            rig.counted(5000, 10 + n as u32, held);
+        }
+        assert_eq!(sent(&rig.out), Some(WorkerId(to)), "{held} held");
+    }
+}
+
+/// What was counted a while ago is no room: at 300 dispatchers half of all jobs went to full workers while the fleet was
+/// too small, by what their nodes remembered of them. The job asks anew, also where most of the fleet was heard of.
+#[test]
+fn what_was_counted_a_while_ago_is_asked_for_anew() {
+    for heard in [20, 300] {
+        let mut rig = Rig::new(large(Effect::Safe, 600), 300);
+        (0..heard).for_each(|w| rig.counted(0, w, 3.0));
+        let mut now = SECOND / 5;
+        rig.at(now, job_of(1, 0));
+        assert_eq!(sent(&rig.out), None, "{heard} heard of");
+        for _ in 0..3 {
+            let asked = probes(&rig.out);
+            assert_eq!(asked.len(), 4, "{heard} heard of: asks");
+            let timer = rig.out.iter().find_map(|a| match a {
+                Action::Timer(at, n) => Some((at.0, *n)),
+                _ => None,
+            });
+            for worker in asked {
+                rig.counted(now + 5000, worker.0 as u32, 12.0);
+                assert_eq!(
+                    sent(&rig.out),
+                    None,
+                    "{heard} heard of: sent on what is old"
+                );
+            }
+            let (at, n) = timer.expect("asks on");
+            now = at;
+            rig.at(now, Event::Timer(n));
+        }
+        let asked = probes(&rig.out);
+        for (n, worker) in asked.iter().enumerate() {
+            let held = if n == 2 { 8.0 } else { 9.0 };
+            rig.counted(now + 5000, worker.0 as u32, held);
+        }
+        assert_eq!(sent(&rig.out), Some(asked[2]));
+    }
+}
+
 /// Where none of them has room, the job goes to the first that shows some.
 #[test]
 fn a_held_job_goes_when_any_worker_has_room() {
