Ask again at growing spans while no worker has room

All ask in step while nobody has room: six rounds of four, a twentieth of what the job can spare apart.

The change: each further round waits as long as the job has waited, so at 1, 2, 4 and 8 twentieths: four rounds. Answers count for as long as the round that asked waits. A round forgets whom it asked before: a worker that never answers would have kept the job from hearing the others out.

`make lint` and `make test` pass.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,7 +17,7 @@
 const ASKED: usize = 4;
 /// The part of what it can spare that a job waits for their answers, or at a worker before it asks others.
 const ASKING: f64 = 0.05;
-/// The part of what it can spare for which a job looks for room. Later it would only wait at some worker, in
+/// The part of what it can spare until which a job asks for room. Later it would only wait at some worker, in
 /// the way of jobs that can still be in time.
 const PATIENCE: f64 = 0.3;
 /// How much more a free slot of the own zone weighs than one of another: a crossing has its price.
@@ -272,14 +272,12 @@
     /// Whether it shows room for the request. What dispatchers counted together is asked for anew: what it
     /// fades to would be room at full workers, too, for all that remember them.
     fn roomy(&self, now: Micros, request: &Request, w: usize) -> bool {
-        let old = |at| now - at > self.asking(&request.job);
-        if self.fleet[w].counted.is_some_and(old) {
-            return false;
-        }
+        let old = |at| now - at > self.window(at, request);
+        let known = !self.fleet[w].counted.is_some_and(old);
         // What was not charged leaves a slot to what is.
         let spared = f64::from(u8::from(request.wait > 0.0 && self.asks()));
         let room = self.free(now, w) >= request.job.slots + spared;
-        room && now >= self.fleet[w].avoid_until && self.may(now, request, w)
+        known && room && now >= self.fleet[w].avoid_until && self.may(now, request, w)
     }
 
     /// Whether the effect allows this request an attempt at this worker.
@@ -334,9 +332,8 @@
         self.weighted(now, if well.is_empty() { resting } else { well })
     }
 
-    /// Where calls were counted, keeps the freest of those workers. None but the few that ask in the same
-    /// milliseconds see the same count, so nothing speaks against the most room: with it the longest queue of
-    /// all grows as the double logarithm of the fleet (Azar et al. 1994).
+    /// Where calls were counted, keeps the freest of those workers: only the few that ask in the same
+    /// milliseconds see that count, and the longest queue of all stays shortest so (Azar et al. 1994).
     fn keep_freest(&self, now: Micros, roomy: &mut Vec<usize>) {
         let counted = |w: usize| self.fleet[w].counted.is_some();
         let most = roomy.iter().filter(|&&w| counted(w));
@@ -375,31 +372,35 @@
         drawn.get(chosen).copied()
     }
 
-    /// Whether jobs ask before they go: most of the fleet is not heard of, or what dispatchers count together
-    /// can be had for the asking.
+    /// Whether jobs ask before they go: most of the fleet has not told of itself lately, and what dispatchers
+    /// count together can be had for the asking.
     fn asks(&self) -> bool {
-        let heard = &self.fleet.heard;
-        let counted = || heard.iter().any(|&w| self.fleet[w].counted.is_some());
-        let few = 2.0 * (heard.len() as f64) < self.fleet.ready(None).0;
-        self.settings.limits.probes && (few || counted())
+        let told = |w: &&usize| self.fleet[**w].counted.is_none();
+        let told = self.fleet.heard.iter().filter(told).count() as f64;
+        self.settings.limits.probes && 2.0 * told < self.fleet.ready(None).0
+    }
+
+    /// How long a request waits for the answers of those it asks now, and for how long they count.
+    fn window(&self, now: Micros, request: &Request) -> Micros {
+        let part = |part| self.part(&request.job, part);
+        request.waited(now).clamp(part(ASKING), part(PATIENCE))
     }
 
-    /// How long a job waits for the answers of those it asked, or at a worker before it asks others.
-    fn asking(&self, job: &Job) -> Micros {
-        Micros::from_secs(self.spare(job).secs() * ASKING)
+    /// A part of what a job can spare.
+    fn part(&self, job: &Job, part: f64) -> Micros {
+        Micros::from_secs(self.spare(job).secs() * part)
     }
 
-    /// Asks some workers on behalf of a job, which waits for a part of what it can spare. Guards against a
-    /// blind draw, and against a gate or a sight of a jam that rests on the few workers heard of.
+    /// Asks some workers on behalf of a job, which waits for a part of what it can spare, then as long as it
+    /// has waited: where none has room, to ask is a load of its own. Guards against a blind draw, and against
+    /// a gate or a sight of a jam that rests on the few workers heard of.
     fn ask(&mut self, now: Micros, mut request: Request, out: &mut Vec<Action>) {
-        for _ in 0..ASKED {
-            request.awaited.extend(self.probe(now, Some(&request), out));
-        }
-        let out_still = request.attempts.iter().any(|a| a.outcome.is_none());
-        if request.awaited.is_empty() && !out_still {
+        let asked = (0..ASKED).filter_map(|_| self.probe(now, Some(&request), out));
+        request.awaited = asked.collect();
+        if request.awaited.is_empty() && request.attempts.iter().all(|a| a.outcome.is_some()) {
             return self.place(now, request, out);
         }
-        let (id, until) = (request.job.id, now + self.asking(&request.job));
+        let (id, until) = (request.job.id, now + self.window(now, &request));
         out.push(Action::Timer(until.min(request.deadline), id.0));
         self.held.push(id);
         self.requests.insert(id, request);
@@ -417,11 +418,10 @@
         let unsent = !request.ended && request.attempts.iter().all(|a| a.outcome.is_some());
         let mut heard = self.fleet.heard.iter();
         let roomy = heard.any(|&w| self.roomy(now, &request, w));
-        let came = Micros(request.deadline.0 - request.job.time_left.0);
-        let patience = Micros::from_secs(self.spare(&request.job).secs() * PATIENCE);
+        let patience = self.part(&request.job, PATIENCE);
         if unsent && roomy {
             self.place(now, request, out);
-        } else if unsent && now < request.deadline && now - came < patience {
+        } else if unsent && now < request.deadline && request.waited(now) < patience {
             self.ask(now, request, out);
         } else if unsent {
             self.give_up(request, out);
@@ -468,7 +468,7 @@
         let failed = |w: usize| self.fleet[w].avoid_until > last.sent;
         let failed = self.fleet.find(last.worker).is_some_and(failed);
         let may = copies && told && failed && last.waits() && request.idle();
-        may.then(|| last.sent + self.asking(&request.job))
+        may.then(|| last.sent + self.part(&request.job, ASKING))
     }
 
     /// Sends the request to a drawn worker, or ends it where none can take it.
@@ -489,7 +489,7 @@
         }
         if self.settings.limits.second_copies {
             out.push(Action::Timer(
-                now + self.asking(&request.job),
+                now + self.part(&request.job, ASKING),
                 request.job.id.0,
             ));
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    /// How long ago it came.
+    pub fn waited(&self, now: Micros) -> Micros {
+        now - Micros(self.deadline.0 - self.job.time_left.0)
+    }
+
     /// Whether none of its attempts is running, and it is not over.
     pub fn idle(&self) -> bool {
         !self.ended && !self.attempts.iter().any(Attempt::runs)
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -159,6 +159,35 @@
     }
 }
 
+/// Where no worker has room every job asks, for nothing, and that is a load as well: each round comes at twice the time
+/// since the first, so that a job that finds none asks four times, not six, and is given up after four tenths of what it can spare.
+#[test]
+fn a_job_that_finds_no_room_asks_less_and_less_often() {
+    let mut rig = Rig::new(large(Effect::Safe, 600), 300);
+    rig.at(0, job_of(1, 0));
+    let mut asked = vec![];
+    loop {
+        let now = asked.last().map_or(0, |(_, at)| *at);
+        let timer = rig.out.iter().find_map(|a| match a {
+            Action::Timer(at, n) => Some((at.0, *n)),
+            _ => None,
+        });
+        let Some((at, n)) = timer else {
+            break;
+        };
+        asked.push((probes(&rig.out).len(), at));
+        for worker in probes(&rig.out.clone()) {
+            rig.counted(now + 5000, worker.0 as u32, 12.0);
+        }
+        rig.at(at, Event::Timer(n));
+    }
+    let first = asked[0].1;
+    let at: Vec<u64> = asked.iter().map(|(_, at)| at / first).collect();
+    assert_eq!(at, [1, 2, 4, 8]);
+    assert!(asked.iter().all(|(probes, _)| *probes == 4), "{asked:?}");
+    assert!(matches!(rig.out[..], [Action::Refuse(..)]), "{:?}", rig.out);
+}
+
 /// Where none of them has room, the job goes to the first that shows some.
 #[test]
 fn a_held_job_goes_when_any_worker_has_room() {
