Look at a worker's count before the other tests of room, and share a test's timer look-up

Seen on reading the change again. `roomy` asks `asks()` for a job that was not charged, and `asks()` walks the workers heard of since counts are told from reports: a draw, and each answer that held jobs wait for, then walked them once for each of them. A worker whose count is old is refused first now; in a large fleet these are nearly all that are heard of. No decision changes. The doc of `asks` said "and" where it meant that a counted worker does not count as heard of.

The tests of tests/size.rs looked for the next timer in three places in the same words; they share `timer`.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -273,11 +273,13 @@
     /// fades to would be room at full workers, too, for all that remember them.
     fn roomy(&self, now: Micros, request: &Request, w: usize) -> bool {
         let old = |at| now - at > self.window(at, request);
-        let known = !self.fleet[w].counted.is_some_and(old);
+        if self.fleet[w].counted.is_some_and(old) {
+            return false;
+        }
         // What was not charged leaves a slot to what is.
         let spared = f64::from(u8::from(request.wait > 0.0 && self.asks()));
         let room = self.free(now, w) >= request.job.slots + spared;
-        known && room && now >= self.fleet[w].avoid_until && self.may(now, request, w)
+        room && now >= self.fleet[w].avoid_until && self.may(now, request, w)
     }
 
     /// Whether the effect allows this request an attempt at this worker.
@@ -372,8 +374,8 @@
         drawn.get(chosen).copied()
     }
 
-    /// Whether jobs ask before they go: most of the fleet has not told of itself lately, and what dispatchers
-    /// count together can be had for the asking.
+    /// Whether jobs ask before they go, since most of the fleet has not told of itself lately. A worker that
+    /// dispatchers counted has not: that is asked for anew.
     fn asks(&self) -> bool {
         let told = |w: &&usize| self.fleet[**w].counted.is_none();
         let told = self.fleet.heard.iter().filter(told).count() as f64;
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -22,6 +22,14 @@
     out.iter().filter_map(probe).collect()
 }
 
+/// When the dispatcher wants to be woken, and the number to wake it with.
+fn timer(out: &[Action]) -> Option<(u64, u64)> {
+    out.iter().find_map(|action| match action {
+        Action::Timer(at, n) => Some((at.0, *n)),
+        _ => None,
+    })
+}
+
 fn job_of(id: u64, tenant: u32) -> Event {
     Event::Job(Job {
         tenant: TenantId(tenant),
@@ -134,10 +142,7 @@
         for _ in 0..3 {
             let asked = probes(&rig.out);
             assert_eq!(asked.len(), 4, "{heard} heard of: asks");
-            let timer = rig.out.iter().find_map(|a| match a {
-                Action::Timer(at, n) => Some((at.0, *n)),
-                _ => None,
-            });
+            let wake = timer(&rig.out);
             for worker in asked {
                 rig.counted(now + 5000, worker.0 as u32, 12.0);
                 assert_eq!(
@@ -146,7 +151,7 @@
                     "{heard} heard of: sent on what is old"
                 );
             }
-            let (at, n) = timer.expect("asks on");
+            let (at, n) = wake.expect("asks on");
             now = at;
             rig.at(now, Event::Timer(n));
         }
@@ -168,11 +173,8 @@
     let mut asked = vec![];
     loop {
         let now = asked.last().map_or(0, |(_, at)| *at);
-        let timer = rig.out.iter().find_map(|a| match a {
-            Action::Timer(at, n) => Some((at.0, *n)),
-            _ => None,
-        });
-        let Some((at, n)) = timer else {
+        let wake = timer(&rig.out);
+        let Some((at, n)) = wake else {
             break;
         };
         asked.push((probes(&rig.out).len(), at));
@@ -223,11 +225,8 @@
                 assert_eq!(sent(&rig.out), None);
                 rig.out = timers;
             }
-            let timer = rig.out.iter().find_map(|a| match a {
-                Action::Timer(at, n) => Some((at.0, *n)),
-                _ => None,
-            });
-            let (at, n) = timer.expect("asks on");
+            let wake = timer(&rig.out);
+            let (at, n) = wake.expect("asks on");
             (now, rounds) = (at, rounds + 1);
             assert!(rounds < 50, "without end");
             if let Some(last) = rig.at(at, Event::Timer(n)).first() {
