Add agreement, seats, manifest and store: crates for one set of rules over a fleet

Need: settings and lists on which all nodes agree, licence seats over all nodes, and job needs checked against what sites offer. docs/design/agreement.md has the options, thirteen guarantees with their proofs and tests, and the failure cases.

`agreement/` keeps records with versions by the `raft` library (a book of records as its state machine, commands counted so that repeats change nothing), and lets each node act under a reading: confirmed by a read index, counted from before the question, remembered by no voter. `seats/` has the ledger that is agreed on and the desk that grants a node's part without a message. `manifest/` is the pure check. `store/` writes with `redb` on a thread of its own; each value has its own checksum, and the library's panics on damaged files end in an error. Nothing of it is in the node yet.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 test: binding
 	MARBLEDECK_BINDING=$(CURDIR)/$(BINDING) cargo test --locked
+	RUSTFLAGS="--cfg loom" cargo test --locked --release --target-dir target/loom -p marbledeck-store --test mailbox
 
 binding: $(BINDING)/ready
 
--- /dev/null
+++ b/agreement/tests/fleet.rs
@@ -0,0 +1,967 @@
+//! A fleet in virtual time: voters that are killed, cut off, and run out of disk; nodes that are stopped, restarted and
+//! whose clocks run at different rates. One checker looks at every node at every step. A failure prints its seed.
+
+use marbledeck::Micros;
+use marbledeck_agreement::wire::{Answer, MOST_COMMANDS};
+use marbledeck_agreement::{
+    Acting, Body, Book, Change, Command, Durable, Outcome, Rates, Reader, Record, Save, Stream,
+    Terms, Voter, Warden, What,
+};
+use marbledeck_seats::{Desk, Licence, Pool, Reading};
+use std::collections::{BTreeMap, BinaryHeap};
+
+const STEP: u64 = 10_000;
+const TICK: u64 = 50_000;
+const TERMS: Terms = Terms {
+    lease: Micros(1_000_000),
+    drift: 0.01,
+};
+const LONGEST: u64 = 800_000;
+
+struct Rng(oorandom::Rand64);
+
+impl Rng {
+    fn new(seed: u64) -> Self {
+        Rng(oorandom::Rand64::new(u128::from(seed)))
+    }
+    fn below(&mut self, n: u64) -> u64 {
+        self.0.rand_range(0..n.max(1))
+    }
+    fn chance(&mut self, of: f64) -> bool {
+        self.0.rand_float() < of
+    }
+}
+
+enum Msg {
+    Raft {
+        from: u64,
+        to: u64,
+        bytes: Vec<u8>,
+    },
+    Ask {
+        node: usize,
+        to: u64,
+        question: u64,
+        known: u64,
+        boot: u64,
+        commands: Vec<Command>,
+    },
+    Answer {
+        node: usize,
+        boot: u64,
+        answer: Answer,
+    },
+    Saved {
+        voter: u64,
+        boot: u64,
+        saves: Vec<Save>,
+    },
+    Heard {
+        to: u64,
+        nodes: Vec<(u32, u64)>,
+    },
+}
+
+/// A voter's disk: what is on it outlives the voter.
+#[derive(Default, Clone)]
+struct Disk {
+    durable: Durable,
+    full: bool,
+    waiting: Vec<Save>,
+    queued: Vec<Save>,
+    busy: u64,
+}
+
+impl Disk {
+    fn write(&mut self, save: &Save) {
+        if let Some(hard) = &save.hard {
+            self.durable.hard = Some(hard.clone());
+        }
+        if let Some((index, snapshot)) = &save.snapshot {
+            self.durable.snapshot = Some(snapshot.clone());
+            self.durable
+                .entries
+                .retain(|(at, _)| !save.replaces && at > index);
+        }
+        if let Some((first, _)) = save.entries.first() {
+            self.durable.entries.retain(|(at, _)| at < first);
+            self.durable.entries.extend(save.entries.iter().cloned());
+        }
+    }
+}
+
+struct Seat {
+    voter: Option<Voter>,
+    warden: Option<Warden>,
+    disk: Disk,
+    boot: u64,
+    asks: BTreeMap<u64, (usize, u64, u64, u64)>,
+    next: u64,
+    heard: BTreeMap<u32, u64>,
+}
+
+struct Node {
+    reader: Reader,
+    desk: Desk,
+    boot: u64,
+    up: bool,
+    stopped_until: u64,
+    /// The rate of its clock.
+    rate: f64,
+    voter: u64,
+    ask_at: u64,
+    seen: BTreeMap<String, u64>,
+    /// Calls whose end it will learn: when, sent, known.
+    calls: Vec<(u64, Micros, bool)>,
+    change: Option<Command>,
+    changes: u64,
+}
+
+impl Node {
+    fn now(&self, at: u64) -> Micros {
+        Micros((at as f64 * self.rate) as u64)
+    }
+}
+
+/// How long each version of a record was acted upon.
+#[derive(Default)]
+struct Acts(BTreeMap<String, BTreeMap<u64, (u64, u64)>>);
+
+impl Acts {
+    fn note(&mut self, at: u64, name: &str, version: u64) {
+        let acts = self.0.entry(name.to_owned()).or_default();
+        acts.entry(version).or_insert((at, at)).1 = at;
+    }
+
+    /// The longest that an earlier version was acted upon after the first act on a later one.
+    fn worst(&self, name: &str) -> i64 {
+        let Some(acts) = self.0.get(name) else {
+            return i64::MIN;
+        };
+        let mut worst = i64::MIN;
+        for (version, (first, _)) in acts {
+            for (_, (_, last)) in acts.range(..version) {
+                worst = worst.max(*last as i64 - *first as i64);
+            }
+        }
+        worst
+    }
+}
+
+struct World {
+    rng: Rng,
+    at: u64,
+    seats: Vec<Seat>,
+    nodes: Vec<Node>,
+    queue: BinaryHeap<std::cmp::Reverse<(u64, u64)>>,
+    msgs: BTreeMap<u64, Msg>,
+    serial: u64,
+    /// From and to: nothing passes. Voters count from 1, nodes from 1000.
+    cuts: Vec<(u64, u64, u64)>,
+    acts: Acts,
+    /// Calls that run at workers, by when they end.
+    running: Vec<u64>,
+    pool: u32,
+    most: usize,
+    done: u64,
+    asked: u64,
+    grants: u64,
+    refused: u64,
+}
+
+fn no_faults() -> Faults {
+    Faults {
+        cuts: 0.0,
+        kills: 0.0,
+        stops: 0.0,
+        full: 0.0,
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Faults {
+    cuts: f64,
+    kills: f64,
+    stops: f64,
+    full: f64,
+}
+
+const ALL: Faults = Faults {
+    cuts: 0.4,
+    kills: 0.4,
+    stops: 0.6,
+    full: 0.15,
+};
+
+impl World {
+    fn new(seed: u64, voters: u64, nodes: usize) -> Self {
+        let mut rng = Rng::new(seed);
+        let ids: Vec<u64> = (1..=voters).collect();
+        let seat = |id: u64| Seat {
+            voter: Some(Voter::new(id, &ids, 1, &Durable::default()).expect("a voter")),
+            warden: None,
+            disk: Disk::default(),
+            boot: 1,
+            asks: BTreeMap::new(),
+            next: 0,
+            heard: BTreeMap::new(),
+        };
+        let seats = ids.iter().map(|id| seat(*id)).collect();
+        let node = |rng: &mut Rng| Node {
+            reader: Reader::new(TERMS),
+            desk: Desk::new(vec!["codec".into()], Vec::new(), Micros(2_000_000)),
+            boot: 1,
+            up: true,
+            stopped_until: 0,
+            // Any two differ by one part in a hundred at most.
+            rate: 0.995 + 0.00995 * rng.0.rand_float(),
+            voter: 1 + rng.below(voters),
+            ask_at: rng.below(300_000),
+            seen: BTreeMap::new(),
+            calls: Vec::new(),
+            change: None,
+            changes: 0,
+        };
+        let nodes = (0..nodes).map(|_| node(&mut rng)).collect();
+        World {
+            rng,
+            at: 0,
+            seats,
+            nodes,
+            queue: BinaryHeap::new(),
+            msgs: BTreeMap::new(),
+            serial: 0,
+            cuts: Vec::new(),
+            acts: Acts::default(),
+            running: Vec::new(),
+            pool: 20,
+            most: 0,
+            done: 0,
+            asked: 0,
+            grants: 0,
+            refused: 0,
+        }
+    }
+
+    fn send(&mut self, from: u64, to: u64, msg: Msg) {
+        let cut = self
+            .cuts
+            .iter()
+            .any(|(a, b, until)| *a == from && *b == to && *until > self.at);
+        if cut || self.rng.chance(0.01) {
+            return;
+        }
+        // Late now and then, and so out of order.
+        let late = if self.rng.chance(0.02) {
+            400_000
+        } else {
+            8_000
+        };
+        let at = self.at + 500 + self.rng.below(late);
+        self.later(at, msg);
+    }
+
+    fn later(&mut self, at: u64, msg: Msg) {
+        self.serial += 1;
+        self.queue.push(std::cmp::Reverse((at, self.serial)));
+        self.msgs.insert(self.serial, msg);
+    }
+
+    /// Carries out what a voter wants.
+    fn drive(&mut self, v: usize) {
+        let id = v as u64 + 1;
+        let Some(voter) = &mut self.seats[v].voter else {
+            return;
+        };
+        let work = voter.work();
+        let leads = voter.leads();
+        let at = self.at;
+        if leads && self.seats[v].warden.is_none() {
+            self.seats[v].warden = Some(Warden::new(Micros(at), TERMS));
+        } else if !leads {
+            self.seats[v].warden = None;
+        }
+        for save in work.saves {
+            let seat = &mut self.seats[v];
+            if seat.disk.full || !seat.disk.waiting.is_empty() {
+                let queued = std::mem::take(&mut seat.disk.queued);
+                seat.disk.waiting.extend(queued);
+                seat.disk.waiting.push(save);
+                seat.voter.as_mut().expect("it runs").stall();
+                continue;
+            }
+            self.seats[v].disk.queued.push(save);
+        }
+        // One write after the other, each of all that waits.
+        if self.seats[v].disk.busy <= self.at && !self.seats[v].disk.queued.is_empty() {
+            let at = self.at + 2_000 + self.rng.below(20_000);
+            let seat = &mut self.seats[v];
+            seat.disk.busy = at;
+            let (boot, saves) = (seat.boot, std::mem::take(&mut seat.disk.queued));
+            self.later(
+                at,
+                Msg::Saved {
+                    voter: id,
+                    boot,
+                    saves,
+                },
+            );
+        }
+        for (to, bytes) in work.send {
+            self.send(
+                id,
+                to,
+                Msg::Raft {
+                    from: id,
+                    to,
+                    bytes,
+                },
+            );
+        }
+        for question in work.confirmed {
+            let seat = &mut self.seats[v];
+            let Some((node, question, known, boot)) = seat.asks.remove(&question) else {
+                continue;
+            };
+            let book = seat.voter.as_ref().expect("it runs").book();
+            let answer = answer(book, node as u32, question, known, boot);
+            self.send(id, 1000 + node as u64, Msg::Answer { node, boot, answer });
+        }
+    }
+
+    fn deliver(&mut self, msg: Msg) {
+        match msg {
+            Msg::Raft { from, to, bytes } => {
+                if let Some(voter) = &mut self.seats[to as usize - 1].voter {
+                    voter.receive(from, &bytes).expect("a voter's message");
+                }
+            }
+            Msg::Ask {
+                node,
+                to,
+                question,
+                known,
+                boot,
+                commands,
+            } => {
+                let seat = &mut self.seats[to as usize - 1];
+                if let Some(voter) = &mut seat.voter {
+                    seat.next += 1;
+                    seat.asks.insert(seat.next, (node, question, known, boot));
+                    seat.heard.insert(node as u32, boot);
+                    voter.ask(seat.next);
+                    for command in commands.iter().take(MOST_COMMANDS) {
+                        voter.propose(command);
+                    }
+                }
+            }
+            Msg::Answer { node, boot, answer } => {
+                let at = self.at;
+                let node = &mut self.nodes[node];
+                if !node.up || node.boot != boot || node.stopped_until > at {
+                    return;
+                }
+                let now = node.now(at);
+                if node.reader.answered(now, &answer) {
+                    let pool = match node.reader.acting(now, "seats/codec") {
+                        Acting::On(Record {
+                            body: Some(Body::Pool(pool)),
+                            ..
+                        }) => {
+                            vec![("codec".to_owned(), Micros(pool.longest_run_ms * 1000))]
+                        }
+                        _ => Vec::new(),
+                    };
+                    let (until, parts) = (node.reader.until(), answer.held());
+                    node.desk.read(&Reading {
+                        until,
+                        done: answer.moved,
+                        parts,
+                        pools: pool,
+                    });
+                    if let (Some(change), Some((number, outcome))) = (&node.change, &answer.changed)
+                    {
+                        if change.number == *number {
+                            self.done += u64::from(*outcome == Outcome::Done);
+                            node.change = None;
+                        }
+                    }
+                }
+            }
+            Msg::Saved { voter, boot, saves } => {
+                let seat = &mut self.seats[voter as usize - 1];
+                for save in saves.iter().filter(|_| seat.boot == boot) {
+                    seat.disk.write(save);
+                    if let Some(voter) = &mut seat.voter {
+                        voter.saved(save.ticket);
+                    }
+                }
+            }
+            Msg::Heard { to, nodes } => {
+                let at = self.at;
+                if let Some(warden) = &mut self.seats[to as usize - 1].warden {
+                    for (node, boot) in nodes {
+                        warden.heard(Micros(at), node, boot);
+                    }
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        for v in 0..self.seats.len() {
+            let id = v as u64 + 1;
+            if let Some(voter) = &mut self.seats[v].voter {
+                voter.tick();
+            }
+            let (at, seat) = (self.at, &mut self.seats[v]);
+            if let (Some(voter), Some(warden)) = (&mut seat.voter, &mut seat.warden) {
+                for what in warden.due(Micros(at), voter.book()) {
+                    voter.propose(&Command {
+                        node: 0,
+                        boot: 0,
+                        number: 0,
+                        what,
+                    });
+                }
+            }
+            if self.at.is_multiple_of(500_000) && seat.voter.is_some() {
+                let nodes: Vec<(u32, u64)> = std::mem::take(&mut seat.heard).into_iter().collect();
+                if let Some(warden) = &mut seat.warden {
+                    nodes
+                        .iter()
+                        .for_each(|(node, boot)| warden.heard(Micros(at), *node, *boot));
+                }
+                for to in (1..=self.seats.len() as u64).filter(|to| *to != id) {
+                    let nodes = nodes.clone();
+                    self.send(id, to, Msg::Heard { to, nodes });
+                }
+            }
+        }
+    }
+
+    /// Every node that runs asks, takes seats and acts.
+    fn live(&mut self) {
+        let at = self.at;
+        for n in 0..self.nodes.len() {
+            let node = &mut self.nodes[n];
+            if !node.up || node.stopped_until > at {
+                continue;
+            }
+            let now = node.now(at);
+            // What it would do just now.
+            let names: Vec<String> = node.reader.names().map(str::to_owned).collect();
+            for name in names {
+                if let Acting::On(record) = node.reader.acting(now, &name) {
+                    let last = node.seen.entry(name.clone()).or_default();
+                    assert!(record.version >= *last, "{name} went back");
+                    *last = record.version;
+                    self.acts.note(at, &name, record.version);
+                }
+            }
+            while let Some(at_call) = node.calls.iter().position(|(end, ..)| *end <= at) {
+                let (_, sent, known) = node.calls.swap_remove(at_call);
+                node.desk.end(sent, &[Licence(0)], 0, known);
+            }
+            if self.rng.chance(0.05) {
+                match node.desk.take(now, &[Licence(0)], 0) {
+                    Ok(()) => {
+                        self.grants += 1;
+                        // It runs at its worker whatever becomes of the node.
+                        let ends = at + 10_000 + self.rng.below(LONGEST - 10_000);
+                        let known = self.rng.chance(0.8);
+                        let heard = if known {
+                            ends
+                        } else {
+                            at + self.rng.below(ends - at)
+                        };
+                        self.running.push(ends);
+                        node.calls.push((heard, now, known));
+                    }
+                    Err(_) => self.refused += 1,
+                }
+            }
+            if node.ask_at <= at {
+                node.ask_at = at + 200_000 + self.rng.below(60_000);
+                if self.rng.chance(0.2) || !node.reader.holds(now) {
+                    node.voter = 1 + self.rng.below(self.seats.len() as u64);
+                }
+                let (question, known) = node.reader.ask(now);
+                let moves = node.desk.command(now).map(|(number, what)| Command {
+                    node: n as u32,
+                    boot: node.boot,
+                    number,
+                    what: What::Seats(what),
+                });
+                let commands: Vec<Command> = moves.into_iter().chain(node.change.clone()).collect();
+                let (to, boot) = (node.voter, node.boot);
+                self.asked += 1;
+                self.send(
+                    1000 + n as u64,
+                    to,
+                    Msg::Ask {
+                        node: n,
+                        to,
+                        question,
+                        known,
+                        boot,
+                        commands,
+                    },
+                );
+            }
+        }
+        self.running.retain(|end| *end > at);
+        self.most = self.most.max(self.running.len());
+        assert!(
+            self.running.len() <= self.pool as usize,
+            "{} seats in use of {}",
+            self.running.len(),
+            self.pool
+        );
+    }
+
+    fn fault(&mut self, faults: Faults) {
+        let (at, voters) = (self.at, self.seats.len() as u64);
+        if self.rng.chance(faults.cuts) {
+            // One way or both, between voters or between a node and a voter.
+            let node = 1000 + self.rng.below(self.nodes.len() as u64);
+            let (a, b) = (1 + self.rng.below(voters), 1 + self.rng.below(voters));
+            let (a, b) = if self.rng.chance(0.3) {
+                (node, b)
+            } else {
+                (a, b)
+            };
+            let until = at + self.rng.below(5_000_000);
+            self.cuts.push((a, b, until));
+            if self.rng.chance(0.5) {
+                self.cuts.push((b, a, until));
+            }
+        }
+        if self.rng.chance(faults.kills) {
+            let v = self.rng.below(voters) as usize;
+            let seat = &mut self.seats[v];
+            (seat.voter, seat.warden) = (None, None);
+            seat.asks.clear();
+            seat.disk.waiting.clear();
+            seat.disk.queued.clear();
+            seat.disk.busy = 0;
+            // What was under way is lost: it was not known to be durable.
+            seat.boot += 1;
+        }
+        if self.rng.chance(faults.stops) {
+            let n = self.rng.below(self.nodes.len() as u64) as usize;
+            let span = self.rng.below(4_000_000);
+            self.nodes[n].stopped_until = at + span;
+        }
+        if self.rng.chance(faults.stops / 2.0) {
+            // Killed, and started again soon: its calls go on at their workers.
+            let n = self.rng.below(self.nodes.len() as u64) as usize;
+            let node = &mut self.nodes[n];
+            node.boot += 1;
+            node.reader = Reader::new(TERMS);
+            node.desk = Desk::new(vec!["codec".into()], Vec::new(), Micros(2_000_000));
+            node.calls.clear();
+            node.change = None;
+            node.seen.clear();
+        }
+        if self.rng.chance(faults.full) {
+            let v = self.rng.below(voters) as usize;
+            self.seats[v].disk.full = true;
+        }
+        for v in 0..self.seats.len() {
+            if self.rng.chance(0.4) && self.seats[v].disk.busy <= self.at {
+                let seat = &mut self.seats[v];
+                seat.disk.full = false;
+                let waiting = std::mem::take(&mut seat.disk.waiting);
+                if let Some(voter) = &mut seat.voter {
+                    for save in waiting {
+                        seat.disk.write(&save);
+                        voter.saved(save.ticket);
+                    }
+                }
+            }
+            if self.seats[v].voter.is_none() && self.rng.chance(0.5) {
+                let ids: Vec<u64> = (1..=voters).collect();
+                let seat = &mut self.seats[v];
+                seat.boot += 1;
+                let voter = Voter::new(v as u64 + 1, &ids, seat.boot, &seat.disk.durable);
+                seat.voter = Some(voter.expect("what was stored is sound"));
+            }
+        }
+    }
+
+    /// An operator at this node changes records.
+    fn change(&mut self, n: usize, change: Change) {
+        let node = &mut self.nodes[n];
+        if node.change.is_none() {
+            node.changes += 1;
+            let (boot, number) = (node.boot, node.changes);
+            node.change = Some(Command {
+                node: n as u32,
+                boot,
+                number,
+                what: What::Change(change),
+            });
+        }
+    }
+
+    fn run(&mut self, until: u64, faults: Faults, each_s: impl Fn(&mut World)) {
+        while self.at < until {
+            self.at += STEP;
+            while self.queue.peek().is_some_and(|next| next.0 .0 <= self.at) {
+                let (_, serial) = self.queue.pop().expect("it was seen").0;
+                let msg = self.msgs.remove(&serial).expect("it was queued");
+                self.deliver(msg);
+            }
+            if self.at.is_multiple_of(TICK) {
+                self.tick();
+            }
+            for v in 0..self.seats.len() {
+                self.drive(v);
+            }
+            self.live();
+            if self.at.is_multiple_of(1_000_000) {
+                self.fault(faults);
+                each_s(self);
+            }
+        }
+    }
+
+    fn newest(&self) -> Option<&Book> {
+        let books = self
+            .seats
+            .iter()
+            .filter_map(|seat| seat.voter.as_ref().map(Voter::book));
+        books.max_by_key(|book| book.revision())
+    }
+}
+
+fn answer(book: &Book, node: u32, question: u64, known: u64, boot: u64) -> Answer {
+    let last = |stream| book.last(node, boot, stream);
+    let pool = |name: &str| {
+        book.pools()
+            .find(|(known, _)| *known == name)
+            .map(|(_, pool)| pool.clone())
+    };
+    let parts = book
+        .seats()
+        .holds(node, boot)
+        .into_iter()
+        .map(|(name, tenant, seats)| {
+            let recalled =
+                pool(&name).map_or(0, |pool| book.seats().recalled(&name, &pool, &tenant));
+            (name, tenant, seats, recalled)
+        });
+    Answer {
+        question,
+        revision: book.revision(),
+        records: book
+            .since(known)
+            .map(|(name, record)| (name.clone(), record.clone()))
+            .collect(),
+        moved: last(Stream::Seats).map_or(0, |(number, _)| number),
+        changed: last(Stream::Changes).map(|(number, outcome)| (number, outcome.clone())),
+        parts: parts.collect(),
+        stale: book.is_stale(node, boot),
+    }
+}
+
+fn pool(seats: u32) -> Option<Body> {
+    Some(Body::Pool(Pool {
+        seats,
+        guaranteed: BTreeMap::new(),
+        longest_run_ms: LONGEST / 1000,
+    }))
+}
+
+fn put(expect: &[(&str, u64)], bodies: Vec<(&str, Option<Body>)>, exclusive: &[&str]) -> Change {
+    Change {
+        expect: expect
+            .iter()
+            .map(|(name, version)| ((*name).to_owned(), *version))
+            .collect(),
+        put: bodies
+            .into_iter()
+            .map(|(name, body)| (name.to_owned(), body))
+            .collect(),
+        exclusive: exclusive.iter().map(|name| (*name).to_owned()).collect(),
+    }
+}
+
+fn rates(of: f64) -> Option<Body> {
+    Some(Body::Rates(Rates {
+        per_s: [("au".to_owned(), of)].into(),
+    }))
+}
+
+/// A second's changes: rates, and a list of which no two versions may act at a time.
+fn change_some(world: &mut World) {
+    let Some(book) = world.newest() else {
+        return;
+    };
+    let (r, o, p) = (
+        book.version("settings/rates"),
+        book.version("workers/out"),
+        book.version("seats/codec"),
+    );
+    let n = world.rng.below(world.nodes.len() as u64) as usize;
+    let seats = world.pool;
+    let out = Some(Body::Out([format!("w{o}")].into()));
+    let change = match (p, world.rng.chance(0.5)) {
+        (0, _) => put(
+            &[("seats/codec", 0)],
+            vec![("seats/codec", pool(seats))],
+            &[],
+        ),
+        (_, true) => put(
+            &[("settings/rates", r)],
+            vec![("settings/rates", rates(r as f64))],
+            &[],
+        ),
+        (_, false) => put(
+            &[("workers/out", o)],
+            vec![("workers/out", out)],
+            &["workers/out"],
+        ),
+    };
+    world.change(n, change);
+}
+
+fn history(seed: u64, nodes: usize, seconds: u64) -> World {
+    let mut world = World::new(seed, 5, nodes);
+    world.run(5_000_000, no_faults(), change_some);
+    world.run(seconds * 1_000_000, ALL, change_some);
+    let overlap = TERMS.overlap().0 as i64 + STEP as i64;
+    for name in ["settings/rates", "seats/codec"] {
+        let worst = world.acts.worst(name);
+        assert!(
+            worst <= overlap,
+            "seed {seed}: {name}: {worst} us of overlap, {overlap} are allowed"
+        );
+    }
+    let worst = world.acts.worst("workers/out");
+    assert!(
+        worst < 0,
+        "seed {seed}: versions of an exclusive record overlapped by {worst} us"
+    );
+    world
+}
+
+/// Histories of faults: the first seed, and how many, may be set; a long run takes 1,000.
+fn seeds() -> std::ops::Range<u64> {
+    let number = |name: &str, or| {
+        std::env::var(name)
+            .ok()
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(or)
+    };
+    let first = number("MARBLEDECK_SEED", 1);
+    first..first + number("MARBLEDECK_HISTORIES", 24)
+}
+
+#[test]
+fn no_two_versions_act_for_longer_than_t() {
+    let (mut done, mut grants) = (0, 0);
+    for seed in seeds() {
+        println!("seed {seed}");
+        let world = history(seed, 30, 40);
+        done += world.done;
+        grants += world.grants;
+    }
+    // Else nothing was tried.
+    assert!(
+        done >= 24 && grants >= 24 * 20,
+        "{done} changes, {grants} grants"
+    );
+}
+
+#[test]
+fn a_whole_fleet_of_300() {
+    let world = history(7, 300, 20);
+    assert!(world.done > 3, "{} changes", world.done);
+    // One read index a voter and tick, whoever asks.
+    assert!(world.asked > 300 * 15 * 3, "{} questions", world.asked);
+}
+
+#[test]
+fn without_a_majority_the_fallbacks_hold() {
+    let mut world = World::new(3, 3, 6);
+    world.run(6_000_000, no_faults(), change_some);
+    assert!(world
+        .nodes
+        .iter()
+        .all(|node| node.reader.holds(node.now(world.at))));
+    for v in [0, 1] {
+        world.seats[v].voter = None;
+    }
+    let before = world.grants;
+    let cut = world.at;
+    world.run(cut + 1_200_000, no_faults(), |_| {});
+    let granted = world.grants;
+    for node in &mut world.nodes {
+        let now = node.now(world.at);
+        assert!(!node.reader.holds(now));
+        assert!(matches!(
+            node.reader.acting(now, "settings/rates"),
+            Acting::Without(..) | Acting::Never
+        ));
+        assert!(node.desk.take(now, &[Licence(0)], 0).is_err());
+    }
+    assert!(granted > 0 || before > 0);
+    // A majority again, with what it had written: all goes on.
+    for v in [0, 1] {
+        let durable = world.seats[v].disk.durable.clone();
+        world.seats[v].boot += 1;
+        world.seats[v].voter =
+            Some(Voter::new(v as u64 + 1, &[1, 2, 3], 9, &durable).expect("a voter"));
+    }
+    let at = world.at;
+    world.run(at + 4_000_000, no_faults(), |_| {});
+    assert!(world
+        .nodes
+        .iter()
+        .all(|node| node.reader.holds(node.now(world.at))));
+}
+
+#[test]
+fn a_dead_nodes_seats_come_back_only_after_its_calls() {
+    let mut world = World::new(5, 3, 4);
+    world.run(8_000_000, no_faults(), change_some);
+    world.run(14_000_000, no_faults(), |_| {});
+    let held = |world: &World, n: u32| -> u32 {
+        let book = world.newest().expect("a book");
+        book.seats()
+            .holds(n, 1)
+            .iter()
+            .map(|(.., seats)| seats)
+            .sum()
+    };
+    let n = (0..4).max_by_key(|n| held(&world, *n)).expect("four");
+    assert!(held(&world, n) > 0, "nobody holds a seat");
+    let taken = world.newest().expect("a book").seats().taken("codec");
+    world.nodes[n as usize].up = false;
+    let died = world.at;
+    while held(&world, n) > 0 {
+        let at = world.at;
+        world.run(at + STEP, no_faults(), |_| {});
+        assert!(
+            world.at < died + 10_000_000,
+            "its block was never reclaimed"
+        );
+    }
+    // What ebbs is still taken.
+    assert!(world.newest().expect("a book").seats().ebbing().count() > 0);
+    let reclaimed = world.at;
+    while world.newest().expect("a book").seats().ebbing().count() > 0 {
+        let at = world.at;
+        world.run(at + STEP, no_faults(), |_| {});
+        assert!(
+            world.at < reclaimed + 10_000_000,
+            "its seats never came back"
+        );
+    }
+    assert!(
+        world.at - reclaimed >= TERMS.overlap().0 + LONGEST,
+        "{} us",
+        world.at - reclaimed
+    );
+    assert!(taken > 0);
+}
+
+/// The messages that promise anything wait for the disk.
+#[test]
+fn nothing_leaves_before_it_is_durable() {
+    let ids = [1, 2, 3];
+    let mut a = Voter::new(1, &ids, 1, &Durable::default()).expect("a voter");
+    let mut b = Voter::new(2, &ids, 1, &Durable::default()).expect("a voter");
+    let mut promised = 0;
+    // a stands for election; b's vote is not said before it is written.
+    let mut to_b = Vec::new();
+    for _ in 0..40 {
+        a.tick();
+        let work = a.work();
+        work.saves.iter().for_each(|save| a.saved(save.ticket));
+        to_b.extend(work.send);
+        to_b.extend(a.work().send);
+        for (to, bytes) in to_b.drain(..).filter(|(to, _)| *to == 2) {
+            assert_eq!(to, 2);
+            b.receive(1, &bytes).expect("a's message");
+        }
+        let work = b.work();
+        let tickets: Vec<u64> = work.saves.iter().map(|save| save.ticket).collect();
+        let held = work
+            .saves
+            .iter()
+            .any(|save| save.hard.is_some() || !save.entries.is_empty());
+        let early: Vec<_> = work.send.clone();
+        if held {
+            promised += 1;
+            assert!(early.is_empty(), "b has promised what it has not written");
+        }
+        tickets.iter().for_each(|ticket| b.saved(*ticket));
+        for (_, bytes) in early
+            .into_iter()
+            .chain(b.work().send)
+            .filter(|(to, _)| *to == 1)
+        {
+            a.receive(2, &bytes).expect("b's message");
+        }
+    }
+    assert!(promised > 0 && a.leads(), "{promised} promises");
+}
+
+/// A leader whose disk is full gives way, and what was agreed goes on without it.
+#[test]
+fn a_disk_that_is_full_promises_nothing() {
+    let mut world = World::new(11, 3, 6);
+    world.run(6_000_000, no_faults(), change_some);
+    let leader = world
+        .seats
+        .iter()
+        .position(|seat| seat.voter.as_ref().is_some_and(Voter::leads))
+        .expect("a leader");
+    world.seats[leader].disk.full = true;
+    let before = world.done;
+    // The faults' round would end it: none is played here.
+    while world.at < 14_000_000 {
+        let at = world.at;
+        world.seats[leader].disk.full = true;
+        world.run(at + 500_000, no_faults(), change_some);
+    }
+    assert!(world.done > before, "nothing was agreed without it");
+    let book = world.newest().expect("a book").revision();
+    world.seats[leader].disk.full = false;
+    world.run(20_000_000, no_faults(), |_| {});
+    let own = world.seats[leader]
+        .voter
+        .as_ref()
+        .expect("it runs")
+        .book()
+        .revision();
+    assert!(
+        own >= book,
+        "it takes part again by itself: {own} of {book}"
+    );
+}
+
+/// An answer of an earlier revision, or to another question, is no reading.
+#[test]
+fn an_observer_never_goes_back() {
+    let mut reader = Reader::new(TERMS);
+    let (first, _) = reader.ask(Micros(0));
+    let (second, _) = reader.ask(Micros(10));
+    let answer = |question, revision| Answer {
+        question,
+        revision,
+        ..Answer::default()
+    };
+    assert!(!reader.answered(Micros(20), &answer(first, 5)));
+    assert!(reader.answered(Micros(20), &answer(second, 5)));
+    let (third, known) = reader.ask(Micros(500_000));
+    assert_eq!(known, 5);
+    assert!(!reader.answered(Micros(500_010), &answer(third, 4)));
+    assert_eq!(reader.until(), Micros(1_000_010));
+    // Counted from the question, however late the answer is.
+    assert!(reader.answered(Micros(900_000), &answer(third, 6)));
+    assert_eq!(reader.until(), Micros(1_500_000));
+}
