--- /dev/null
+++ b/node/src/agreement/apply.rs
@@ -0,0 +1,153 @@
+//! What the records mean to this node: rates, workers out of service, seats.
+
+use crate::party::Hub;
+use marbledeck::Micros;
+use marbledeck_agreement::{Acting, Body, Record};
+use marbledeck_membership::{SourceId, Status, Word};
+use marbledeck_seats::Reading;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What was done of them last.
+#[derive(Default)]
+pub struct Applied {
+    readings: u64,
+    /// Whether the last look found a reading.
+    held: bool,
+    next: Option<Micros>,
+    source: Option<SourceId>,
+    out: BTreeSet<String>,
+    rates: Option<Vec<Option<f64>>>,
+}
+
+fn out_of(record: &Record) -> Option<&BTreeSet<String>> {
+    match &record.body {
+        Some(Body::Out(out)) => Some(out),
+        _ => None,
+    }
+}
+
+fn rates_of(record: &Record) -> BTreeMap<String, f64> {
+    match &record.body {
+        Some(Body::Rates(rates)) => rates.per_s.clone(),
+        _ => BTreeMap::new(),
+    }
+}
+
+/// The stricter of two: what either names, at the lower figure.
+fn stricter(
+    mut one: BTreeMap<String, f64>,
+    other: &BTreeMap<String, f64>,
+) -> BTreeMap<String, f64> {
+    for (tenant, rate) in other {
+        let entry = one.entry(tenant.clone()).or_insert(*rate);
+        *entry = entry.min(*rate);
+    }
+    one
+}
+
+impl Applied {
+    /// When what holds may change by itself: a reading runs out, or an exclusive record comes into force.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.next
+    }
+
+    /// Brings the node in line with what it may act on now.
+    pub fn renew(&mut self, now: Micros, hub: &mut Hub) {
+        let Some(reader) = &hub.agreed.reader else {
+            return;
+        };
+        let (held, due) = (reader.holds(now), self.next.is_some_and(|at| now >= at));
+        if hub.agreed.readings == self.readings && held == self.held && !due {
+            return;
+        }
+        if self.held && !held {
+            log::warn!("agreement: no voter has confirmed this node's reading; the records' fallbacks hold");
+        } else if held && !self.held {
+            log::info!("agreement: revision {} confirmed", reader.revision());
+        }
+        let fresh = hub.agreed.readings != self.readings;
+        (self.readings, self.held) = (hub.agreed.readings, held);
+        let until = Some(reader.until()).filter(|until| *until > now);
+        self.next = until.into_iter().chain(reader.next_change(now)).min();
+
+        // A list that may have changed: nobody goes back in before the new one is in force.
+        let out: BTreeSet<String> = match reader.acting(now, "workers/out") {
+            Acting::On(record) => out_of(record).cloned().unwrap_or_default(),
+            Acting::Without(record, before) => {
+                let both = [Some(record), before];
+                both.into_iter()
+                    .flatten()
+                    .filter_map(out_of)
+                    .flatten()
+                    .cloned()
+                    .collect()
+            }
+            Acting::Between => self.out.clone(),
+            Acting::Never => BTreeSet::new(),
+        };
+        let rates = match reader.acting(now, "settings/rates") {
+            Acting::On(record) => Some(rates_of(record)),
+            Acting::Without(record, Some(before)) => {
+                Some(stricter(rates_of(record), &rates_of(before)))
+            }
+            Acting::Without(record, None) => Some(rates_of(record)),
+            Acting::Between | Acting::Never => None,
+        };
+        let pools: Vec<(String, Micros)> = reader
+            .names()
+            .filter_map(|name| match reader.acting(now, name) {
+                Acting::On(Record {
+                    body: Some(Body::Pool(pool)),
+                    ..
+                }) => {
+                    let name = name.strip_prefix("seats/")?.to_owned();
+                    Some((name, Micros(pool.longest_run_ms * 1000)))
+                }
+                _ => None,
+            })
+            .collect();
+        if let Some(seating) = hub.core.seating.as_mut().filter(|_| fresh || due) {
+            let (until, parts) = (reader.until(), hub.agreed.answer.held());
+            seating.desk.read(&Reading {
+                until,
+                done: hub.agreed.answer.moved,
+                parts,
+                pools,
+            });
+        }
+        if let Some(rates) = rates {
+            let names = hub.core.catalogue().tenants();
+            let quotas: Vec<Option<f64>> =
+                names.iter().map(|name| rates.get(name).copied()).collect();
+            if !rates.is_empty() && self.rates.as_ref() != Some(&quotas) {
+                hub.core.set_rates(now, &quotas);
+                self.rates = Some(quotas);
+            }
+        }
+        self.take_out(now, out, hub);
+    }
+
+    fn take_out(&mut self, now: Micros, out: BTreeSet<String>, hub: &mut Hub) {
+        if out == self.out {
+            return;
+        }
+        let members = &mut hub.fleet.members;
+        let source = *self
+            .source
+            .get_or_insert_with(|| members.add_source("agreement", None));
+        let mut told = marbledeck_membership::Told::default();
+        for id in out.difference(&self.out) {
+            let word = Word {
+                id: id.clone(),
+                status: Status::OutOfService,
+                ..Word::default()
+            };
+            told.and(members.change(now, source, word));
+        }
+        for id in self.out.difference(&out) {
+            told.and(members.remove(now, source, id, true));
+        }
+        self.out = out;
+        hub.fleet.changed(now, told, &mut hub.core);
+    }
+}
--- /dev/null
+++ b/node/src/agreement/mod.rs
@@ -0,0 +1,667 @@
+//! The link of this node to the voters, or between them: a party that carries the frames of `marbledeck-agreement`, hands
+//! what is to be durable to the disk's thread, and tells the node what the fleet has agreed on.
+
+mod apply;
+mod voting;
+
+use crate::clock::millis;
+use crate::config::AgreementConfig;
+use crate::net::{Net, Peer, Ready, Token};
+use crate::ops;
+use crate::party::{Hub, Party};
+use marbledeck::Micros;
+use marbledeck_agreement::wire::{self, Answer, Frame, Said, MOST_COMMANDS};
+use marbledeck_agreement::{Change, Command, Outcome, Reader, What};
+use std::collections::{HashMap, VecDeque};
+use std::fmt::Write as _;
+use std::io;
+use voting::{Asker, Voting};
+
+/// What a connection may hold each way: a frame, and the beginning of the next.
+const HELD: usize = wire::LONGEST + 64 * 1024;
+/// Connections taken in one turn, and frames of one connection handled in one turn.
+const ACCEPTS: usize = 16;
+const FRAMES: usize = 64;
+/// How long the listener rests when no descriptor is free.
+const REST: Micros = millis(50);
+/// How long a voter that takes no connection is left alone, and how often another one is tried.
+const AGAIN: Micros = millis(250);
+/// Changes of operators that may wait for their outcome.
+const MOST_CHANGES: usize = 8;
+
+/// A connection that somebody else has made.
+struct Guest {
+    /// Its number as a node, once it has said it.
+    node: Option<u32>,
+    /// Its number as a voter, once that was noted.
+    voter: Option<u64>,
+}
+
+/// A connection to a voter.
+struct Host {
+    voter: u64,
+    /// The voter has taken this one for a voter.
+    welcome: bool,
+}
+
+/// The question that is out.
+struct Question {
+    until: Micros,
+    /// The voter that was asked; none for this node itself.
+    of: Option<u64>,
+}
+
+pub struct Agreement {
+    config: AgreementConfig,
+    peer: Peer,
+    /// This start: later ones have greater numbers.
+    boot: u64,
+    listener: Option<Token>,
+    resting: Option<Micros>,
+    guests: HashMap<Token, Guest>,
+    hosts: HashMap<Token, Host>,
+    /// When each voter may be connected to again.
+    again: HashMap<u64, Micros>,
+    voting: Option<Voting>,
+    /// Frames that have come and were not handled in their turn.
+    waiting: Vec<Token>,
+    /// The voter that this node asks, by its place in the file, and when it asks next.
+    turn: usize,
+    next_ask: Micros,
+    question: Option<Question>,
+    /// Changes of operators, the first of them under way.
+    changes: VecDeque<(Token, Command)>,
+    numbered: u64,
+    replies: VecDeque<(Token, String)>,
+    applied: apply::Applied,
+    /// The time of this turn.
+    now: Micros,
+}
+
+impl Agreement {
+    /// Takes part as the file says.
+    ///
+    /// # Errors
+    /// The address that voters connect to cannot be had. A store that cannot be used keeps this node from voting only.
+    pub fn new(
+        config: AgreementConfig,
+        peer: Peer,
+        now: Micros,
+        hub_net: &mut Net,
+    ) -> io::Result<Self> {
+        let own = config
+            .voters
+            .iter()
+            .find(|voter| voter.number == u64::from(config.node));
+        let mut listener = None;
+        let mut voting = None;
+        if let Some(own) = own {
+            let (token, addr) = hub_net.listen(own.address, None, peer)?;
+            log::info!(
+                "agreement: voter {} takes connections at {addr}",
+                own.number
+            );
+            listener = Some(token);
+            match Voting::open(&config, now, peer, hub_net) {
+                Ok(open) => voting = Some(open),
+                Err((what, advice)) => {
+                    log::error!("agreement: {what}; this node does not vote: {advice}")
+                }
+            }
+        }
+        Ok(Agreement {
+            turn: config.node as usize % config.voters.len(),
+            config,
+            peer,
+            boot: now.0,
+            listener,
+            resting: None,
+            guests: HashMap::new(),
+            hosts: HashMap::new(),
+            again: HashMap::new(),
+            voting,
+            waiting: Vec::new(),
+            next_ask: now,
+            question: None,
+            changes: VecDeque::new(),
+            numbered: 0,
+            replies: VecDeque::new(),
+            applied: apply::Applied::default(),
+            now,
+        })
+    }
+
+    /// What this node may act on, to begin with nothing.
+    pub fn reader(&self) -> Reader {
+        Reader::new(self.config.terms)
+    }
+
+    fn say(&mut self, token: Token, frame: &Frame, net: &mut Net) {
+        if !net.write(token, &wire::encode(frame)) {
+            // Whoever does not read is not waited for.
+            self.let_go(self.now, token, net);
+        }
+    }
+
+    fn let_go(&mut self, now: Micros, token: Token, net: &mut Net) {
+        net.close(token);
+        self.guests.remove(&token);
+        if let Some(host) = self.hosts.remove(&token) {
+            self.again.insert(host.voter, now + AGAIN);
+            if self
+                .question
+                .as_ref()
+                .is_some_and(|q| q.of == Some(host.voter))
+            {
+                self.question = None;
+                self.next_ask = now;
+                self.turn += 1;
+            }
+        }
+    }
+
+    fn accept(&mut self, now: Micros, net: &mut Net) {
+        let Some(listener) = self.listener else {
+            return;
+        };
+        for _ in 0..ACCEPTS {
+            match net.accept(listener) {
+                Ok(None) => return,
+                Ok(Some(token)) => {
+                    let ip = net.peer_addr(token).map(|addr| addr.ip());
+                    let known = ip.is_some_and(|ip| self.config.from.contains(&ip));
+                    if !known || self.guests.len() >= self.config.guests() {
+                        log::warn!("agreement: a connection from {ip:?} is not heeded");
+                        net.close(token);
+                        continue;
+                    }
+                    self.guests.insert(
+                        token,
+                        Guest {
+                            node: None,
+                            voter: None,
+                        },
+                    );
+                }
+                Err(e) => {
+                    log::warn!("agreement: accept: {e}");
+                    net.listening(listener, false);
+                    self.resting = Some(now + REST);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// The connection to a voter; made where there is none.
+    fn host(&mut self, now: Micros, voter: u64, net: &mut Net) -> Option<Token> {
+        if let Some((token, _)) = self.hosts.iter().find(|(_, host)| host.voter == voter) {
+            return Some(*token);
+        }
+        if self.again.get(&voter).is_some_and(|at| now < *at) {
+            return None;
+        }
+        self.again.insert(voter, now + AGAIN);
+        let addr = self
+            .config
+            .voters
+            .iter()
+            .find(|known| known.number == voter)?
+            .address;
+        let token = net.connect(addr, self.peer).ok()?;
+        net.widen(token, HELD);
+        self.hosts.insert(
+            token,
+            Host {
+                voter,
+                welcome: false,
+            },
+        );
+        let own = self
+            .voting
+            .as_ref()
+            .map(|voting| (u64::from(self.config.node), voting.store));
+        let hello = Said::Hello {
+            fleet: self.config.fleet.clone(),
+            node: self.config.node,
+            voter: own,
+        };
+        self.say(token, &Frame::Said(Box::new(hello)), net);
+        Some(token)
+    }
+
+    /// Handles the frames that have come on a connection.
+    fn read(&mut self, now: Micros, token: Token, hub: &mut Hub) {
+        for _ in 0..FRAMES {
+            let Some(conn) = hub.net.get(token) else {
+                self.guests.remove(&token);
+                return;
+            };
+            let frame = match wire::decode(conn.input.all()) {
+                Ok(Some((frame, used))) => {
+                    conn.input.consume(used);
+                    frame
+                }
+                Ok(None) => {
+                    if conn.eof || conn.broken || conn.input.is_full() {
+                        self.let_go(now, token, &mut hub.net);
+                    }
+                    return;
+                }
+                Err(e) => {
+                    log::warn!("agreement: {e}: {}", e.advice());
+                    return self.let_go(now, token, &mut hub.net);
+                }
+            };
+            hub.net.touch(token);
+            if !self.take(now, token, frame, hub) {
+                return self.let_go(now, token, &mut hub.net);
+            }
+        }
+        self.waiting.push(token);
+    }
+
+    /// Handles a frame; tells false where the connection is to end.
+    fn take(&mut self, now: Micros, token: Token, frame: Frame, hub: &mut Hub) -> bool {
+        if let Some(host) = self.hosts.get_mut(&token) {
+            let of = host.voter;
+            return match frame {
+                Frame::Said(said) => match *said {
+                    Said::Welcome { voter } if voter == of => {
+                        host.welcome = true;
+                        if let Some(voting) = &mut self.voting {
+                            voting.welcomed(now, voter);
+                        }
+                        true
+                    }
+                    Said::Denied { voter } if voter == of => {
+                        if let Some(voting) = &mut self.voting {
+                            voting.denied(voter);
+                        }
+                        true
+                    }
+                    Said::Answer(answer) => {
+                        self.answered(now, *answer, hub);
+                        true
+                    }
+                    _ => false,
+                },
+                Frame::Raft(_) => false,
+            };
+        }
+        let Some(guest) = self.guests.get_mut(&token) else {
+            return false;
+        };
+        match (frame, guest.node) {
+            (Frame::Said(said), None) => match *said {
+                Said::Hello { fleet, node, voter } => {
+                    let fits =
+                        fleet == self.config.fleet && (1..=self.config.nodes).contains(&node);
+                    let voter = voter.filter(|(number, _)| {
+                        *number == u64::from(node)
+                            && self.config.voters.iter().any(|v| v.number == *number)
+                    });
+                    if !fits {
+                        log::warn!("agreement: node {node} of fleet '{fleet}' is not heeded");
+                        return false;
+                    }
+                    guest.node = Some(node);
+                    hub.net.widen(token, HELD);
+                    if let (Some((number, store)), Some(voting)) = (voter, &mut self.voting) {
+                        voting.hello(token, number, store);
+                    }
+                    true
+                }
+                _ => false,
+            },
+            (Frame::Raft(_), None) => false,
+            (Frame::Raft(bytes), Some(_)) => {
+                let (Some(from), Some(voting)) = (guest.voter, &mut self.voting) else {
+                    // Not noted yet, or this one does not vote: what is lost is sent again.
+                    return true;
+                };
+                match voting.receive(from, &bytes) {
+                    Ok(()) => true,
+                    Err(e) => {
+                        log::warn!("agreement: {e}: {}", e.advice());
+                        false
+                    }
+                }
+            }
+            (Frame::Said(said), Some(node)) => match (*said, &mut self.voting) {
+                (
+                    Said::Ask {
+                        question,
+                        known,
+                        boot,
+                        commands,
+                    },
+                    Some(voting),
+                ) => {
+                    let asker = Asker {
+                        of: Some(token),
+                        node,
+                        question,
+                        known,
+                        boot,
+                    };
+                    voting.ask(asker, commands.into_iter().take(MOST_COMMANDS));
+                    true
+                }
+                (Said::Ask { .. }, None) => false,
+                (Said::Heard { nodes }, Some(voting)) if guest.voter.is_some() => {
+                    voting.heard(now, &nodes);
+                    true
+                }
+                (Said::Heard { .. }, _) => true,
+                _ => false,
+            },
+        }
+    }
+
+    /// Asks for a reading, if it is time.
+    fn ask(&mut self, now: Micros, hub: &mut Hub) {
+        if self.question.as_ref().is_some_and(|q| now >= q.until) {
+            // It is silent: another one is asked.
+            if let Some(of) = self.question.take().and_then(|q| q.of) {
+                let silent = self
+                    .hosts
+                    .iter()
+                    .find(|(_, host)| host.voter == of)
+                    .map(|(t, _)| *t);
+                if let Some(token) = silent {
+                    self.let_go(now, token, &mut hub.net);
+                }
+                self.turn += 1;
+            }
+            self.next_ask = now;
+        }
+        if self.question.is_some() || now < self.next_ask {
+            return;
+        }
+        self.next_ask = now + self.config.ask_every();
+        let votes = self.voting.as_ref().is_some_and(Voting::takes_part);
+        let to = match votes {
+            true => None,
+            false => {
+                let voter = self.config.voters[self.turn % self.config.voters.len()].number;
+                let own = voter == u64::from(self.config.node);
+                let token = if own {
+                    None
+                } else {
+                    self.host(now, voter, &mut hub.net)
+                };
+                let Some(token) = token else {
+                    self.turn += 1;
+                    self.next_ask = now + AGAIN;
+                    return;
+                };
+                Some((token, voter))
+            }
+        };
+        let moves = hub
+            .core
+            .seating
+            .as_mut()
+            .and_then(|seating| seating.desk.command(now));
+        let moves = moves.map(|(number, what)| self.command(number, What::Seats(what)));
+        let change = self.changes.front().map(|(_, command)| command.clone());
+        let commands: Vec<Command> = moves.into_iter().chain(change).collect();
+        let Some(reader) = &mut hub.agreed.reader else {
+            return;
+        };
+        let (question, known) = reader.ask(now);
+        let until = now + self.config.patience();
+        self.question = Some(Question {
+            until,
+            of: to.map(|(_, voter)| voter),
+        });
+        match to {
+            Some((token, _)) => {
+                let ask = Said::Ask {
+                    question,
+                    known,
+                    boot: self.boot,
+                    commands,
+                };
+                self.say(token, &Frame::Said(Box::new(ask)), &mut hub.net);
+            }
+            None => {
+                let asker = Asker {
+                    of: None,
+                    node: self.config.node,
+                    question,
+                    known,
+                    boot: self.boot,
+                };
+                if let Some(voting) = &mut self.voting {
+                    voting.ask(asker, commands.into_iter());
+                }
+            }
+        }
+    }
+
+    fn command(&self, number: u64, what: What) -> Command {
+        Command {
+            node: self.config.node,
+            boot: self.boot,
+            number,
+            what,
+        }
+    }
+
+    fn answered(&mut self, now: Micros, answer: Answer, hub: &mut Hub) {
+        let Some(reader) = &mut hub.agreed.reader else {
+            return;
+        };
+        if !reader.answered(now, &answer) {
+            return;
+        }
+        self.question = None;
+        if answer.stale {
+            log::error!(
+                "agreement: a later start of node {} is known: this one acts on nothing",
+                self.config.node
+            );
+        }
+        if let (Some((number, outcome)), Some((caller, command))) =
+            (&answer.changed, self.changes.front())
+        {
+            if *number == command.number {
+                let word = match outcome {
+                    Outcome::Done => format!("ACK done; revision {}\n", answer.revision),
+                    Outcome::Refused(why) => format!("NAK {why}: {}\n", why.advice()),
+                };
+                self.replies.push_back((*caller, word));
+                self.changes.pop_front();
+                // The next one at once.
+                self.next_ask = now;
+            }
+        }
+        hub.agreed.readings += 1;
+        hub.agreed.answer = answer;
+    }
+
+    /// Lets the voter work, and sends what it wants sent.
+    fn drive(&mut self, now: Micros, hub: &mut Hub) {
+        let Some(voting) = &mut self.voting else {
+            return;
+        };
+        let work = voting.work(now);
+        for (token, number, known) in work.noted {
+            if let Some(guest) = self.guests.get_mut(&token) {
+                let voter = u64::from(self.config.node);
+                let said = match known {
+                    true => Said::Welcome { voter },
+                    false => Said::Denied { voter },
+                };
+                guest.voter = Some(number).filter(|_| known);
+                self.say(token, &Frame::Said(Box::new(said)), &mut hub.net);
+            }
+        }
+        for (to, frame) in work.send {
+            if let Some(token) = self.host(now, to, &mut hub.net) {
+                self.say(token, &frame, &mut hub.net);
+            }
+        }
+        for (asker, answer) in work.answers {
+            match asker {
+                Some(token) => self.say(
+                    token,
+                    &Frame::Said(Box::new(Said::Answer(Box::new(answer)))),
+                    &mut hub.net,
+                ),
+                None => self.answered(now, answer, hub),
+            }
+        }
+    }
+
+    /// What an operator is shown.
+    fn records(&self, now: Micros, hub: &Hub) -> String {
+        let mut text = String::new();
+        let Some(reader) = &hub.agreed.reader else {
+            return text;
+        };
+        for name in reader.names() {
+            use marbledeck_agreement::Acting;
+            let (state, record) = match reader.acting(now, name) {
+                Acting::On(record) => ("in force", Some(record)),
+                Acting::Between => ("not yet in force", None),
+                Acting::Without(record, _) => ("as last known", Some(record)),
+                Acting::Never => ("unknown", None),
+            };
+            let version = record.map_or(0, |record| record.version);
+            let body = record.map(|record| serde_json::to_string(&record.body).unwrap_or_default());
+            let _ = writeln!(
+                text,
+                "{name} {version} {state} {}",
+                body.unwrap_or_default()
+            );
+        }
+        if let Some(seating) = &hub.core.seating {
+            for (pool, tenant, seats, in_use) in seating.desk.figures() {
+                let _ = writeln!(
+                    text,
+                    "seats {pool} {tenant:?}: {in_use} of {seats} in use here"
+                );
+            }
+        }
+        let left = (reader.until() - now).0 / 1000;
+        let voter = self
+            .voting
+            .as_ref()
+            .map_or("no voter".to_owned(), Voting::state);
+        let _ = writeln!(
+            text,
+            "-- revision {}, reading for {left} ms more; {voter}",
+            reader.revision()
+        );
+        text
+    }
+
+    fn change(&mut self, caller: Token, text: &str) {
+        let mut json = serde_json::Deserializer::from_str(text);
+        let read: Result<Change, _> = serde_path_to_error::deserialize(&mut json);
+        let refused = match read {
+            Err(e) => Some(format!("{}: {}", e.path(), e.inner())),
+            Ok(_) if self.changes.len() >= MOST_CHANGES => {
+                Some("too many changes wait; come back in a second".to_owned())
+            }
+            Ok(change) => match change.check() {
+                Err(why) => Some(format!("{why}: {}", why.advice())),
+                Ok(()) => {
+                    self.numbered += 1;
+                    let command = self.command(self.numbered, What::Change(change));
+                    self.changes.push_back((caller, command));
+                    None
+                }
+            },
+        };
+        if let Some(why) = refused {
+            self.replies.push_back((caller, format!("NAK {why}\n")));
+        }
+    }
+}
+
+impl Party for Agreement {
+    fn name(&self) -> &'static str {
+        "agreement"
+    }
+
+    fn ready(&mut self, now: Micros, event: Ready, hub: &mut Hub) {
+        self.now = now;
+        if event.listener {
+            return self.accept(now, &mut hub.net);
+        }
+        if let Some(voting) = self
+            .voting
+            .as_mut()
+            .filter(|voting| voting.pipe == event.token)
+        {
+            return voting.stored(now);
+        }
+        self.read(now, event.token, hub);
+    }
+
+    fn next_wake(&self) -> Option<Micros> {
+        let more = (!self.waiting.is_empty()).then_some(Micros(0));
+        let asks = self.question.as_ref().map_or(self.next_ask, |q| q.until);
+        let tick = self.voting.as_ref().map(Voting::next_tick);
+        let own = [
+            Some(asks),
+            more,
+            tick,
+            self.resting,
+            self.applied.next_wake(),
+        ];
+        own.into_iter().flatten().min()
+    }
+
+    fn wake(&mut self, now: Micros, hub: &mut Hub) {
+        self.now = now;
+        if self.resting.is_some_and(|until| until <= now) {
+            self.resting = None;
+            if let Some(listener) = self.listener {
+                hub.net.listening(listener, true);
+            }
+        }
+        for token in std::mem::take(&mut self.waiting) {
+            self.read(now, token, hub);
+        }
+        if let Some(voting) = &mut self.voting {
+            voting.tick(now);
+        }
+        if let Some(voting) = &self.voting {
+            for voter in voting.unmet() {
+                self.host(now, voter, &mut hub.net);
+            }
+        }
+        self.ask(now, hub);
+    }
+
+    fn settled(&mut self, now: Micros, hub: &mut Hub) {
+        self.now = now;
+        // What is answered may free the next question, and that one ask the voter again.
+        for _ in 0..2 {
+            self.drive(now, hub);
+            self.ask(now, hub);
+        }
+        self.applied.renew(now, hub);
+    }
+
+    fn operate(&mut self, now: Micros, caller: Token, call: &ops::Call, hub: &mut Hub) -> bool {
+        match call {
+            ops::Call::Records => self.replies.push_back((caller, self.records(now, hub))),
+            ops::Call::Change(text) => {
+                self.change(caller, text);
+                self.next_ask = now;
+            }
+            _ => return false,
+        }
+        true
+    }
+
+    fn reply(&mut self) -> Option<(Token, String)> {
+        self.replies.pop_front()
+    }
+}
--- /dev/null
+++ b/node/src/agreement/voting.rs
@@ -0,0 +1,496 @@
+//! This node as a voter: its store, the voter of `marbledeck-agreement`, and the questions of nodes.
+
+use crate::clock::millis;
+use crate::config::AgreementConfig;
+use crate::net::{Net, Peer, Token};
+use marbledeck::Micros;
+use marbledeck_agreement::wire::{Answer, Frame, Said};
+use marbledeck_agreement::{AgreementError, Command, Durable, Save, Stream, Terms, Voter, Warden};
+use marbledeck_store::{Done, Loaded, Store, Write};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::io::Read;
+use std::os::unix::net::UnixStream;
+
+/// How often the voters tell each other whom they have heard.
+const HEARD: Micros = millis(500);
+/// Questions that may wait.
+const MOST_ASKS: usize = 4096;
+/// The names of what is stored besides the log.
+const HARD: &str = "hard";
+const SNAPSHOT: &str = "snapshot";
+const PROVEN: &str = "proven";
+const KNOWN: &str = "voter/";
+
+/// Who wants a reading.
+pub struct Asker {
+    /// Its connection; none for this node itself.
+    pub of: Option<Token>,
+    pub node: u32,
+    pub question: u64,
+    pub known: u64,
+    pub boot: u64,
+}
+
+/// What a write was for.
+enum Purpose {
+    Voter(u64),
+    /// The number of another voter's store.
+    Note(Token, u64),
+    Proven,
+}
+
+/// What is to be sent.
+#[derive(Default)]
+pub struct Out {
+    pub send: Vec<(u64, Frame)>,
+    pub answers: Vec<(Option<Token>, Answer)>,
+    /// A voter that has said hello, and whether its store is the one that is known.
+    pub noted: Vec<(Token, u64, bool)>,
+}
+
+pub struct Voting {
+    id: u64,
+    others: Vec<u64>,
+    voter: Voter,
+    pub store: u64,
+    disk: Store,
+    /// Its end of the pipe by which the disk's thread wakes the loop.
+    out: UnixStream,
+    pub pipe: Token,
+    writes: u64,
+    purposes: VecDeque<(u64, Purpose)>,
+    /// Writes for which the thread's mailbox had no room.
+    backlog: VecDeque<Write>,
+    stalled: bool,
+    /// That the consensus has stopped here was said.
+    reported: bool,
+    /// All other voters have taken this store for the one of this number, once: it may vote.
+    proven: bool,
+    welcomes: BTreeSet<u64>,
+    denied: bool,
+    /// The numbers of the other voters' stores.
+    stores: BTreeMap<u64, u64>,
+    hellos: Vec<(Token, u64, u64)>,
+    asks: HashMap<u64, Asker>,
+    next: u64,
+    heard: BTreeMap<u32, u64>,
+    next_heard: Micros,
+    warden: Option<Warden>,
+    terms: Terms,
+    span: Micros,
+    due: Micros,
+}
+
+/// A number that no other store has.
+fn draw() -> u64 {
+    use std::hash::{BuildHasher, RandomState};
+    RandomState::new().hash_one(std::process::id()) | 1
+}
+
+fn number(bytes: &[u8]) -> Option<u64> {
+    bytes
+        .first_chunk::<8>()
+        .map(|bytes| u64::from_be_bytes(*bytes))
+}
+
+impl Voting {
+    /// Opens the store and begins to vote, or to prove that it may.
+    ///
+    /// # Errors
+    /// What is wrong, and what an operator can do about it.
+    pub fn open(
+        config: &AgreementConfig,
+        now: Micros,
+        peer: Peer,
+        net: &mut Net,
+    ) -> Result<Self, (String, &'static str)> {
+        let pipe_failed = |e: std::io::Error| (e.to_string(), "raise the limit of descriptors");
+        let (out, pipe) = UnixStream::pair().map_err(pipe_failed)?;
+        out.set_nonblocking(true).map_err(pipe_failed)?;
+        pipe.set_nonblocking(true).map_err(pipe_failed)?;
+        let opened = Store::open(&config.store, draw(), pipe);
+        let (
+            disk,
+            Loaded {
+                number: store,
+                values,
+                entries,
+            },
+        ) = opened.map_err(|e| (e.to_string(), e.advice()))?;
+        let mut durable = Durable {
+            entries,
+            ..Durable::default()
+        };
+        let (mut proven, mut stores) = (false, BTreeMap::new());
+        for (name, value) in values {
+            match name.as_str() {
+                HARD => durable.hard = Some(value),
+                SNAPSHOT => durable.snapshot = Some(value),
+                PROVEN => proven = true,
+                name => {
+                    let known = name.strip_prefix(KNOWN).and_then(|n| n.parse().ok());
+                    stores.extend(known.zip(number(&value)));
+                }
+            }
+        }
+        let id = u64::from(config.node);
+        let ids: Vec<u64> = config.voters.iter().map(|voter| voter.number).collect();
+        let voter = Voter::new(id, &ids, now.0, &durable);
+        let voter = voter.map_err(|e| (e.to_string(), e.advice()))?;
+        let signal = net.signal(out.try_clone().map_err(pipe_failed)?.into(), peer);
+        log::info!(
+            "agreement: store {store:016x}, {}",
+            if proven { "known to the voters" } else { "new" }
+        );
+        Ok(Voting {
+            id,
+            others: ids.into_iter().filter(|other| *other != id).collect(),
+            voter,
+            store,
+            disk,
+            out,
+            pipe: signal.map_err(pipe_failed)?,
+            writes: 0,
+            purposes: VecDeque::new(),
+            backlog: VecDeque::new(),
+            stalled: false,
+            reported: false,
+            proven,
+            welcomes: BTreeSet::new(),
+            denied: false,
+            stores,
+            hellos: Vec::new(),
+            asks: HashMap::new(),
+            next: 0,
+            heard: BTreeMap::new(),
+            next_heard: now,
+            warden: None,
+            terms: config.terms,
+            span: config.tick,
+            due: now,
+        })
+    }
+
+    /// Whether it votes, and can be asked.
+    pub fn takes_part(&self) -> bool {
+        self.proven && !self.denied && self.voter.stopped().is_none()
+    }
+
+    /// In words, for an operator.
+    pub fn state(&self) -> String {
+        let (term, at) = self.voter.place();
+        let how = match (
+            self.voter.stopped(),
+            self.denied,
+            self.proven,
+            self.stalled,
+            self.voter.leads(),
+        ) {
+            (Some(why), ..) => format!("has stopped: {why}"),
+            (_, true, ..) => {
+                "does not vote: the others know this number with another store".to_owned()
+            }
+            (.., false, _, _) => format!(
+                "waits for {} to know it",
+                self.others.len() - self.welcomes.len()
+            ),
+            (.., true, _) => "takes no part: its disk takes nothing".to_owned(),
+            (.., true) => "leads".to_owned(),
+            _ => format!("follows {}", self.voter.leader()),
+        };
+        format!(
+            "voter {} {how}, term {term}, log at {at}, {} entries",
+            self.id,
+            self.voter.log_len()
+        )
+    }
+
+    /// The voters that this one is to connect to, so that they know it.
+    pub fn unmet(&self) -> Vec<u64> {
+        match self.proven || self.denied {
+            true => Vec::new(),
+            false => self
+                .others
+                .iter()
+                .copied()
+                .filter(|v| !self.welcomes.contains(v))
+                .collect(),
+        }
+    }
+
+    pub fn welcomed(&mut self, _now: Micros, voter: u64) {
+        self.welcomes.insert(voter);
+        if !self.proven && !self.denied && self.welcomes.len() == self.others.len() {
+            self.write(
+                Purpose::Proven,
+                Write {
+                    values: vec![(PROVEN.to_owned(), Some(vec![1]))],
+                    ..Write::default()
+                },
+            );
+        }
+    }
+
+    pub fn denied(&mut self, voter: u64) {
+        if !std::mem::replace(&mut self.denied, true) {
+            log::error!(
+                "agreement: voter {voter} knows voter {} with another store: what this one had promised is forgotten, and \
+                 it does not vote. Put its old store back, or replace the voter under a new number",
+                self.id
+            );
+        }
+    }
+
+    /// Another voter says who it is. It is answered once its store's number is noted durably.
+    pub fn hello(&mut self, token: Token, voter: u64, store: u64) {
+        self.hellos.push((token, voter, store));
+    }
+
+    /// A message of another voter.
+    ///
+    /// # Errors
+    /// It makes no sense.
+    pub fn receive(&mut self, from: u64, bytes: &[u8]) -> Result<(), AgreementError> {
+        match self.takes_part() {
+            true => self.voter.receive(from, bytes),
+            false => Ok(()),
+        }
+    }
+
+    /// Somebody asks for a reading, and wants these commands carried out.
+    pub fn ask(&mut self, asker: Asker, commands: impl Iterator<Item = Command>) {
+        if !self.takes_part() || self.asks.len() >= MOST_ASKS {
+            return;
+        }
+        self.heard.insert(asker.node, asker.boot);
+        // What this one knows to be done already need not be done again.
+        for command in
+            commands.filter(|command| command.node == asker.node && command.boot == asker.boot)
+        {
+            let stream = match command.what {
+                marbledeck_agreement::What::Change(_) => Stream::Changes,
+                marbledeck_agreement::What::Seats(_) => Stream::Seats,
+            };
+            let last = self.voter.book().last(command.node, command.boot, stream);
+            if command.number > 0 && last.is_none_or(|(last, _)| last < command.number) {
+                self.voter.propose(&command);
+            }
+        }
+        self.next += 1;
+        self.voter.ask(self.next);
+        self.asks.insert(self.next, asker);
+    }
+
+    pub fn heard(&mut self, now: Micros, nodes: &[(u32, u64)]) {
+        if let Some(warden) = &mut self.warden {
+            nodes
+                .iter()
+                .for_each(|(node, boot)| warden.heard(now, *node, *boot));
+        }
+    }
+
+    pub fn next_tick(&self) -> Micros {
+        self.due
+    }
+
+    pub fn tick(&mut self, now: Micros) {
+        if now < self.due {
+            return;
+        }
+        // After a standstill, one tick is enough: what was missed is not made up for.
+        self.due = now + self.span;
+        while let Some(write) = self.backlog.pop_front() {
+            if !self.disk.write(write.clone()) {
+                self.backlog.push_front(write);
+                break;
+            }
+        }
+        if !self.takes_part() {
+            return;
+        }
+        self.voter.tick();
+        match (&self.warden, self.voter.leads()) {
+            (None, true) => {
+                log::info!("agreement: this voter leads");
+                self.warden = Some(Warden::new(now, self.terms));
+            }
+            (Some(_), false) => {
+                log::info!("agreement: this voter leads no more");
+                self.warden = None;
+            }
+            _ => {}
+        }
+        if let Some(warden) = &mut self.warden {
+            for what in warden.due(now, self.voter.book()) {
+                self.voter.propose(&Command {
+                    node: 0,
+                    boot: 0,
+                    number: 0,
+                    what,
+                });
+            }
+        }
+    }
+
+    fn write(&mut self, purpose: Purpose, mut write: Write) {
+        self.writes += 1;
+        write.ticket = self.writes;
+        self.purposes.push_back((self.writes, purpose));
+        if !self.backlog.is_empty() || !self.disk.write(write.clone()) {
+            self.backlog.push_back(write);
+        }
+    }
+
+    /// The disk's thread has told something.
+    pub fn stored(&mut self, now: Micros) {
+        let mut bytes = [0; 64];
+        while matches!(self.out.read(&mut bytes), Ok(n) if n > 0) {}
+        for done in self.disk.take_done() {
+            match done {
+                Done::Written(ticket) => {
+                    if std::mem::take(&mut self.stalled) {
+                        log::info!(
+                            "agreement: the disk takes writes again; this voter takes part again"
+                        );
+                    }
+                    while let Some((_, purpose)) = self
+                        .purposes
+                        .pop_front_if(|(written, _)| *written <= ticket)
+                    {
+                        self.written(now, purpose);
+                    }
+                }
+                Done::Stalled(e) => {
+                    if !std::mem::replace(&mut self.stalled, true) {
+                        log::error!("agreement: {e}: {}", e.advice());
+                    }
+                    self.voter.stall();
+                }
+            }
+        }
+    }
+
+    fn written(&mut self, now: Micros, purpose: Purpose) {
+        match purpose {
+            Purpose::Voter(ticket) => self.voter.saved(ticket),
+            // Said again by the other, and answered then.
+            Purpose::Note(token, voter) => {
+                if let Some(store) = self.stores.get(&voter) {
+                    self.hellos.push((token, voter, *store));
+                }
+            }
+            Purpose::Proven => {
+                log::info!("agreement: all voters know this store; it votes");
+                self.proven = true;
+                self.due = now;
+            }
+        }
+    }
+
+    /// What is to be sent now.
+    pub fn work(&mut self, now: Micros) -> Out {
+        let mut out = Out::default();
+        for (token, voter, store) in std::mem::take(&mut self.hellos) {
+            match self.stores.get(&voter) {
+                Some(known) => out.noted.push((token, voter, *known == store)),
+                None => {
+                    let value = (
+                        format!("{KNOWN}{voter}"),
+                        Some(store.to_be_bytes().to_vec()),
+                    );
+                    self.write(
+                        Purpose::Note(token, voter),
+                        Write {
+                            values: vec![value],
+                            ..Write::default()
+                        },
+                    );
+                    self.stores.insert(voter, store);
+                }
+            }
+        }
+        if !self.takes_part() {
+            self.asks.clear();
+            return out;
+        }
+        let work = self.voter.work();
+        for save in work.saves {
+            let (ticket, write) = (save.ticket, stored(save));
+            self.write(Purpose::Voter(ticket), write);
+        }
+        out.send.extend(
+            work.send
+                .into_iter()
+                .map(|(to, bytes)| (to, Frame::Raft(bytes))),
+        );
+        for question in work.confirmed {
+            if let Some(asker) = self.asks.remove(&question) {
+                out.answers.push((asker.of, self.answer(&asker)));
+            }
+        }
+        if now >= self.next_heard {
+            self.next_heard = now + HEARD;
+            let nodes: Vec<(u32, u64)> = std::mem::take(&mut self.heard).into_iter().collect();
+            self.heard(now, &nodes);
+            let said = |to: &u64| {
+                (
+                    *to,
+                    Frame::Said(Box::new(Said::Heard {
+                        nodes: nodes.clone(),
+                    })),
+                )
+            };
+            out.send.extend(self.others.iter().map(said));
+        }
+        if let Some(why) = self.voter.stopped().filter(|_| !self.reported) {
+            log::error!(
+                "agreement: the consensus has stopped here: {why}. Restart the node; if it stops again, set its store aside"
+            );
+            self.reported = true;
+        }
+        out
+    }
+
+    fn answer(&self, asker: &Asker) -> Answer {
+        let (book, node, boot) = (self.voter.book(), asker.node, asker.boot);
+        let last = |stream| book.last(node, boot, stream);
+        let parts = book
+            .seats()
+            .holds(node, boot)
+            .into_iter()
+            .map(|(name, tenant, seats)| {
+                let pool = book.pools().find(|(known, _)| *known == name);
+                let recalled =
+                    pool.map_or(0, |(_, pool)| book.seats().recalled(&name, pool, &tenant));
+                (name, tenant, seats, recalled)
+            });
+        Answer {
+            question: asker.question,
+            revision: book.revision(),
+            records: book
+                .since(asker.known)
+                .map(|(name, record)| (name.clone(), record.clone()))
+                .collect(),
+            moved: last(Stream::Seats).map_or(0, |(number, _)| number),
+            changed: last(Stream::Changes).map(|(number, outcome)| (number, outcome.clone())),
+            parts: parts.collect(),
+            stale: book.is_stale(node, boot),
+        }
+    }
+}
+
+/// What is to be durable, as the store has it.
+fn stored(save: Save) -> Write {
+    let mut write = Write {
+        entries: save.entries,
+        ..Write::default()
+    };
+    write
+        .values
+        .extend(save.hard.map(|hard| (HARD.to_owned(), Some(hard))));
+    if let Some((index, snapshot)) = save.snapshot {
+        write.values.push((SNAPSHOT.to_owned(), Some(snapshot)));
+        write.drop_to = Some(if save.replaces { u64::MAX } else { index });
+    }
+    write
+}
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -4,6 +4,7 @@
 use crate::core::Catalogue;
 use crate::directory::Listing;
 use marbledeck::{CellId, Micros, Settings};
+use marbledeck_agreement::Terms;
 use marbledeck_eureka::{Form, Keys};
 use marbledeck_facts::{Facts, Reads};
 use marbledeck_membership::{Guard, Status, Word};
@@ -375,6 +376,15 @@
     pub fn json() -> String {
         "json".to_owned()
     }
+    pub fn lease_ms() -> usize {
+        3000
+    }
+    pub fn tick_ms() -> usize {
+        100
+    }
+    pub fn idle_ms() -> usize {
+        10_000
+    }
     pub fn max_submitters() -> usize {
         64
     }
@@ -451,6 +461,216 @@
     statics: Vec<StaticFile>,
     #[serde(default)]
     peers: PeersFile,
+    #[serde(default)]
+    agreement: Option<AgreementFile>,
+    #[serde(default)]
+    seats: Option<SeatsFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AgreementFile {
+    fleet: String,
+    node: u32,
+    nodes: u32,
+    from: Vec<String>,
+    voters: Vec<VoterFile>,
+    #[serde(default)]
+    store: Option<PathBuf>,
+    #[serde(default = "defaults::lease_ms")]
+    lease_ms: usize,
+    #[serde(default = "defaults::tick_ms")]
+    tick_ms: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct VoterFile {
+    number: u64,
+    address: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SeatsFile {
+    licences: Vec<String>,
+    #[serde(default)]
+    classes: std::collections::BTreeMap<String, Vec<String>>,
+    #[serde(default = "defaults::idle_ms")]
+    idle_ms: usize,
+}
+
+/// A voter.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VoterConfig {
+    /// Its number as a node and as a voter.
+    pub number: u64,
+    /// Where it takes connections.
+    pub address: SocketAddr,
+}
+
+/// The fleet's agreement: who votes, and which node this one is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AgreementConfig {
+    pub fleet: String,
+    /// This node's number.
+    pub node: u32,
+    /// How many nodes there are: their numbers are 1 to this.
+    pub nodes: u32,
+    /// The addresses that nodes connect from.
+    pub from: Vec<std::net::IpAddr>,
+    pub voters: Vec<VoterConfig>,
+    /// Where a voter keeps what it must not forget.
+    pub store: PathBuf,
+    pub terms: Terms,
+    /// The voters' step of time.
+    pub tick: Micros,
+}
+
+/// The rates of two clocks differ by no more than this part; `docs/design/agreement.md`.
+const DRIFT: f64 = 0.01;
+
+impl AgreementConfig {
+    /// How often a node asks for a reading: six times in a lease.
+    pub fn ask_every(&self) -> Micros {
+        Micros(self.terms.lease.0 / 6)
+    }
+
+    /// How long a voter may take for an answer: a third of a lease, so that another can be asked in time.
+    pub fn patience(&self) -> Micros {
+        Micros(self.terms.lease.0 / 3)
+    }
+
+    /// Connections that a voter takes.
+    pub fn guests(&self) -> usize {
+        self.nodes as usize + 2 * self.voters.len()
+    }
+
+    /// Descriptors that this part may hold.
+    pub fn descriptors(&self) -> usize {
+        let votes = self
+            .voters
+            .iter()
+            .any(|voter| voter.number == u64::from(self.node));
+        self.voters.len() + 4 + if votes { self.guests() } else { 0 }
+    }
+}
+
+impl AgreementFile {
+    fn check(self, source: &str) -> Result<AgreementConfig, ConfigError> {
+        let wanted = [
+            ("nodes", self.nodes as usize, 1, 300),
+            ("node", self.node as usize, 1, self.nodes as usize),
+            ("lease_ms", self.lease_ms, 300, 60_000),
+            ("tick_ms", self.tick_ms, 10, 1000),
+        ];
+        within(source, &wanted)?;
+        // Elections are twenty ticks at the longest: a fleet whose readings end before is one without rules meanwhile.
+        if self.lease_ms < 30 * self.tick_ms {
+            return err(
+                format!("{source}: lease_ms"),
+                "want 30 times tick_ms or more",
+            );
+        }
+        if self.fleet.is_empty() || self.fleet.len() > 128 {
+            return err(format!("{source}: fleet"), "want a name of 1 to 128 bytes");
+        }
+        let mut from = Vec::new();
+        for (at, ip) in self.from.iter().enumerate() {
+            match ip.parse() {
+                Ok(ip) => from.push(ip),
+                Err(_) => {
+                    return err(
+                        format!("{source}: from[{at}]"),
+                        "want an address without a port",
+                    )
+                }
+            }
+        }
+        if ![3, 5, 7].contains(&self.voters.len()) {
+            return err(format!("{source}: voters"), "want 3, 5 or 7");
+        }
+        let mut voters: Vec<VoterConfig> = Vec::new();
+        for (at, voter) in self.voters.into_iter().enumerate() {
+            let key = format!("{source}: voters[{at}]");
+            let address = address((format!("{key}.address"), voter.address))?;
+            let numbered = (1..=u64::from(self.nodes)).contains(&voter.number);
+            if !numbered || voters.iter().any(|known| known.number == voter.number) {
+                return err(
+                    format!("{key}.number"),
+                    "want the number of a node, each once",
+                );
+            }
+            voters.push(VoterConfig {
+                number: voter.number,
+                address,
+            });
+        }
+        let votes = voters
+            .iter()
+            .any(|voter| voter.number == u64::from(self.node));
+        let store = match self.store {
+            Some(store) => store,
+            None if votes => return err(format!("{source}: store"), "missing: this node votes"),
+            None => PathBuf::new(),
+        };
+        Ok(AgreementConfig {
+            fleet: self.fleet,
+            node: self.node,
+            nodes: self.nodes,
+            from,
+            voters,
+            store,
+            terms: Terms {
+                lease: Micros(self.lease_ms as u64 * 1000),
+                drift: DRIFT,
+            },
+            tick: Micros(self.tick_ms as u64 * 1000),
+        })
+    }
+}
+
+/// The licences of this site.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SeatsConfig {
+    /// Their names: those of the pools.
+    pub licences: Vec<String>,
+    /// The licences that the jobs of a class need.
+    pub classes: std::collections::BTreeMap<String, Vec<String>>,
+    /// Seats that were not used for so long go back.
+    pub idle: Micros,
+}
+
+impl SeatsFile {
+    fn check(self, source: &str) -> Result<SeatsConfig, ConfigError> {
+        within(
+            source,
+            &[
+                ("idle_ms", self.idle_ms, 100, 3_600_000),
+                ("licences", self.licences.len(), 1, 1000),
+            ],
+        )?;
+        for (at, name) in self.licences.iter().enumerate() {
+            let plain = !name.is_empty() && name.bytes().all(|b| b.is_ascii_graphic() && b != b',');
+            if !plain || self.licences[..at].contains(name) {
+                return err(
+                    format!("{source}: licences[{at}]"),
+                    "want a plain name, each once",
+                );
+            }
+        }
+        for (class, names) in &self.classes {
+            if let Some(name) = names.iter().find(|name| !self.licences.contains(name)) {
+                let what = format_args!("'{name}' is none of the licences");
+                return err(format!("{source}: classes.{class}"), what);
+            }
+        }
+        Ok(SeatsConfig {
+            licences: self.licences,
+            classes: self.classes,
+            idle: Micros(self.idle_ms as u64 * 1000),
+        })
+    }
 }
 
 #[derive(Deserialize)]
@@ -605,6 +825,10 @@
     pub peers: bool,
     /// Workers that are always there.
     pub statics: Vec<Word>,
+    /// The fleet's agreement.
+    pub agreement: Option<AgreementConfig>,
+    /// Licence seats, which need it.
+    pub seats: Option<SeatsConfig>,
 }
 
 impl SiteConfig {
@@ -645,7 +869,19 @@
                 ..Word::default()
             });
         }
+        let agreement = read
+            .agreement
+            .map(|file| file.check(&format!("{source}: agreement")));
+        let seats = read
+            .seats
+            .map(|file| file.check(&format!("{source}: seats")));
+        let seats = seats.transpose()?;
+        if seats.is_some() && agreement.is_none() {
+            return err(format!("{source}: seats"), "wants a part [agreement]");
+        }
         Ok(SiteConfig {
+            agreement: agreement.transpose()?,
+            seats,
             submission: read.submission,
             guard: Guard {
                 keep: secs(guard.keep_s),
--- a/node/src/consumers/intake.rs
+++ b/node/src/consumers/intake.rs
@@ -58,9 +58,12 @@
     let remaining = remaining.and_then(|ms| ms.parse::<u64>().ok());
     let remaining = remaining.filter(|ms| *ms > 0);
     let remaining = remaining.ok_or_else(|| bad("X-Remaining-Ms wants whole milliseconds"))?;
-    let (mut slots, mut memory) = (0.0, 0.0);
+    let (mut slots, mut memory, mut licences) = (0.0, 0.0, Vec::new());
     let labels = head.fields.get("X-Labels").unwrap_or_default();
     for (name, value) in labels.split(',').filter_map(|label| label.split_once('=')) {
+        if name.trim() == "licence" {
+            licences.push(value.trim());
+        }
         let value = value
             .trim()
             .parse()
@@ -83,6 +86,7 @@
         cost_hint: hint.map(|ms| Micros::from_secs(ms / 1000.0)),
         slots,
         memory,
+        licences,
         work: Work {
             txn,
             key: named(head, "Idempotency-Key")?,
--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -350,7 +350,9 @@
                 core.take_in(now, order)
                     .map_err(|malformed| match malformed {
                         // Nothing of it has run: coming back is harmless.
-                        Malformed::TooMany => Notice(503, malformed.to_string()),
+                        Malformed::TooMany | Malformed::NoSeat(_) => {
+                            Notice(503, malformed.to_string())
+                        }
                         Malformed::IdOpen => Notice(409, malformed.to_string()),
                         _ => Notice(400, malformed.to_string()),
                     })
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod book;
 mod relay;
 mod route;
+pub mod seating;
 mod send;
 mod table;
 mod take_in;
@@ -113,6 +114,8 @@
     commands: VecDeque<Command>,
     /// Invocations of which a call that ran has come back.
     returned: Vec<RequestId>,
+    /// Licence seats, where the site has any.
+    pub seating: Option<seating::Seating>,
     /// Workers that are asked for their load while a peer is asked what all nodes have out there.
     awaited: HashMap<WorkerId, Awaited>,
 }
@@ -148,10 +151,25 @@
             actions: Vec::new(),
             commands: VecDeque::new(),
             returned: Vec::new(),
+            seating: None,
             awaited: HashMap::new(),
         })
     }
 
+    /// From now on the tenants may ask for so many jobs a second over all nodes, in the order of the settings.
+    pub fn set_rates(&mut self, now: Micros, quotas: &[Option<f64>]) {
+        self.dispatcher.set_quotas(now, quotas);
+    }
+
+    /// The final answer of something that another site was asked to do, for the front that handed it over.
+    pub fn answer_for(&mut self, id: RequestId, verdict: Verdict) {
+        self.commands.push_back(Command::Answer {
+            id,
+            verdict,
+            sent: None,
+        });
+    }
+
     /// The next thing to do, if any.
     pub fn command(&mut self) -> Option<Command> {
         self.commands.pop_front()
--- a/node/src/core/relay.rs
+++ b/node/src/core/relay.rs
@@ -78,6 +78,10 @@
             started.map_or(Micros(0), |at| now - at).0,
             Told(report)
         );
+        let needs = self.table.get(id).map(|i| i.needs.clone());
+        if let Some(needs) = needs {
+            self.unseat(now - latency, &needs, outcome);
+        }
         let closed = self.table.get(id).is_none_or(|i| i.answered);
         self.counts.end(outcome);
         self.commands.push_back(Command::CameBack(worker));
--- a/node/src/core/route.rs
+++ b/node/src/core/route.rs
@@ -20,6 +20,12 @@
         let attempt = invocation.calls.len() as u32;
         let may =
             !invocation.answered && now < invocation.deadline && invocation.calls.len() < most;
+        let needs = invocation.needs.clone();
+        // A call that finds no seat is moot, as one that finds no worker would be: the dispatcher goes on from there.
+        let may = may && self.seat(now, &needs);
+        let Some(invocation) = self.table.get(id) else {
+            return;
+        };
         invocation.calls.push(Call {
             worker,
             sent: now,
--- a/node/src/core/table.rs
+++ b/node/src/core/table.rs
@@ -1,5 +1,6 @@
 //! The invocations: each is kept until it has its final answer and all of its calls are back.
 
+use super::seating::Needs;
 use super::Work;
 use marbledeck::{ClassId, Micros, RequestId, WorkerId};
 use std::collections::{HashMap, HashSet};
@@ -20,6 +21,8 @@
     pub work: Rc<Work>,
     pub deadline: Micros,
     pub answered: bool,
+    /// What each of its calls takes.
+    pub needs: Needs,
     pub calls: Vec<Call>,
 }
 
@@ -51,7 +54,13 @@
 
 impl Table {
     /// Enters an invocation under an id that is never used again.
-    pub fn enter(&mut self, class: ClassId, work: Work, deadline: Micros) -> RequestId {
+    pub fn enter(
+        &mut self,
+        class: ClassId,
+        work: Work,
+        deadline: Micros,
+        needs: Needs,
+    ) -> RequestId {
         let id = RequestId(self.next);
         self.next += 1;
         self.txns.insert(work.txn.clone());
@@ -61,6 +70,7 @@
             work: Rc::new(work),
             deadline,
             answered: false,
+            needs,
             calls: Vec::new(),
         };
         self.map.insert(id, new);
--- a/node/src/core/take_in.rs
+++ b/node/src/core/take_in.rs
@@ -5,6 +5,7 @@
 use crate::clock::millis;
 use marbledeck::{Class, ClassId, Effect, Event, Job, Micros, RequestId, Settings, TenantId};
 use marbledeck_facts::Facts;
+use marbledeck_seats::NoSeat;
 use std::fmt;
 
 /// How long after its deadline an invocation without an answer is failed: well within the time still accepted.
@@ -20,6 +21,8 @@
     pub cost_hint: Option<Micros>,
     pub slots: f64,
     pub memory: f64,
+    /// Licences that it needs besides those of its class.
+    pub licences: Vec<&'a str>,
     pub work: Work,
 }
 
@@ -33,6 +36,10 @@
     /// Another invocation of this id is open.
     IdOpen,
     TooMany,
+    /// No pool of seats has this name.
+    UnknownLicence(String),
+    /// A licence has no seat now.
+    NoSeat(NoSeat),
 }
 
 impl fmt::Display for Malformed {
@@ -44,6 +51,8 @@
             Malformed::NoTimeLeft => f.write_str("no time is left"),
             Malformed::IdOpen => f.write_str("this id is open"),
             Malformed::TooMany => f.write_str("too many invocations are open"),
+            Malformed::UnknownLicence(name) => write!(f, "unknown licence '{name}'"),
+            Malformed::NoSeat(why) => write!(f, "{why}"),
         }
     }
 }
@@ -98,6 +107,11 @@
         Ok((id, tenant))
     }
 
+    /// The tenants' names, in order.
+    pub fn tenants(&self) -> &[String] {
+        &self.tenants
+    }
+
     /// The longest deadline of any class.
     pub fn longest(&self) -> Micros {
         let all = self.classes.iter().map(|(_, figures)| figures.deadline);
@@ -136,8 +150,15 @@
             }
             return Err(Malformed::TooMany);
         }
+        let needs = self.needs(now, class, tenant.0 as usize, &order.licences);
+        let needs = needs.inspect_err(|why| {
+            let class = self.counts.class(class);
+            if let Some(class) = class.filter(|_| matches!(why, Malformed::NoSeat(_))) {
+                class.rejected += 1;
+            }
+        })?;
         let deadline = now + order.time_left;
-        let id = self.table.enter(class, order.work, deadline);
+        let id = self.table.enter(class, order.work, deadline, needs);
         // After the attempts' time-outs, which let the dispatcher answer.
         self.timers.add(deadline + BACKSTOP, Due::Deadline(id));
         self.counts.taken += 1;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The marbledeck node: the decisions of the module `marbledeck`, served on real sockets.
 #![forbid(unsafe_code)]
 
+mod agreement;
 pub mod clock;
 pub mod config;
 mod consumers;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -124,6 +124,11 @@
         end: pipe(signal_hook::consts::SIGTERM)?,
         reload: pipe(signal_hook::consts::SIGHUP)?,
     };
+    if site.agreement.is_some() {
+        // A file that may not grow is a full disk, and no reason to end.
+        let noted: std::sync::Arc<std::sync::atomic::AtomicBool> = Default::default();
+        signal_hook::flag::register(signal_hook::consts::SIGXFSZ, noted)?;
+    }
     let read = || Config::read(|name| std::env::var(name).ok());
     let config = read()?;
     logger::start(config.log);
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -323,6 +323,20 @@
         }
     }
 
+    /// The address at the other end of a connection.
+    pub fn peer_addr(&mut self, token: Token) -> Option<SocketAddr> {
+        let addr = rustix::net::getpeername(&self.get(token)?.fd).ok()?;
+        SocketAddr::try_from(addr?).ok()
+    }
+
+    /// A connection may hold so many bytes each way from now on.
+    pub fn widen(&mut self, token: Token, bytes: usize) {
+        if let Some(conn) = self.get(token) {
+            conn.input.widen(bytes);
+            conn.output.widen(bytes);
+        }
+    }
+
     /// Whether an idle connection can still be written to.
     pub fn is_quiet(&mut self, token: Token) -> bool {
         self.get(token).is_some_and(|conn| conn.is_quiet())
--- a/node/src/net/ring.rs
+++ b/node/src/net/ring.rs
@@ -21,6 +21,11 @@
         }
     }
 
+    /// From now on it may hold so many bytes, if that is more than before.
+    pub fn widen(&mut self, cap: usize) {
+        self.cap = self.cap.max(cap);
+    }
+
     pub fn len(&self) -> usize {
         self.len
     }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,8 +1,10 @@
 //! The node: the core with its fronts and links round one loop.
 
+use crate::agreement::Agreement;
 use crate::clock::{millis, Clock};
 use crate::config::{Config, ConfigError, SiteConfig};
 use crate::consumers::Consumers;
+use crate::core::seating::Seating;
 use crate::core::{Command, Core};
 use crate::directory::{self, Clocks, Directory};
 use crate::eureka::Eureka;
@@ -10,7 +12,7 @@
 use crate::handover::{self, Handover, News, Side, Word};
 use crate::net::{Net, Peer, Ready, Token};
 use crate::ops::{self, Call, Ops};
-use crate::party::{Hub, Party};
+use crate::party::{Agreed, Hub, Party};
 use crate::peers::Tier;
 use crate::submission::Submissions;
 use crate::workers::{Figures, Workers};
@@ -138,7 +140,8 @@
         let now = clock.now();
         let mut net = Net::new()?;
         let submission = site.submission;
-        let spared = submission.as_ref().map_or(0, |front| front.max_submitters);
+        let spared = submission.as_ref().map_or(0, |front| front.max_submitters)
+            + site.agreement.as_ref().map_or(0, |part| part.descriptors());
         let limits = Limits::of(&config, spared);
         let core = Core::new(config.settings, config.catalogue, config.seed, now);
         let mut core = core.map_err(io::Error::other)?;
@@ -213,6 +216,16 @@
             let peer = Peer::Party(parties.len() as u8);
             parties.push(Box::new(Tier::new(peers, peer, now, &mut net)));
         }
+        if let Some(seats) = site.seats {
+            core.seating = Some(Seating::new(seats, core.catalogue()).map_err(io::Error::other)?);
+        }
+        let mut agreed = Agreed::default();
+        if let Some(agreement) = site.agreement {
+            let peer = Peer::Party(parties.len() as u8);
+            let part = Agreement::new(agreement, peer, now, &mut net)?;
+            agreed.reader = Some(part.reader());
+            parties.push(Box::new(part));
+        }
         workers.wants_signs = members.is_guarded();
         let mut fleet = Fleet::new(members);
         directory.known(now, known, &mut fleet, &mut core);
@@ -246,6 +259,7 @@
                 workers,
                 directory,
                 fleet,
+                agreed,
             },
             consumers,
             parties,
@@ -322,8 +336,11 @@
             fleet,
             ..
         } = &mut self.hub;
-        // First: by a list that is too old nothing is sent, whatever else is due.
+        // First: by a list that is too old nothing is sent, whatever else is due, nor without seats.
         directory.wake(now, fleet, net, core);
+        if core.seated_until().is_some_and(|until| until <= now) {
+            workers.unseat(now, net, core);
+        }
         core.wake(now);
         workers.wake(now, net, core);
         fleet.wake(now, workers, net, core);
@@ -427,6 +444,13 @@
             }
             Call::SetDown(id) => self.set_out(now, id, true),
             Call::SetUp(id) => self.set_out(now, id, false),
+            call @ (Call::Records | Call::Change(_)) => {
+                let mut parties = self.parties.iter_mut();
+                if parties.any(|party| party.operate(now, caller, &call, &mut self.hub)) {
+                    return;
+                }
+                Err("there is no part [agreement] in the operator file".into())
+            }
         };
         if let Some(ops) = &mut self.ops {
             ops.answer(caller, answer, &mut self.hub.net);
@@ -643,10 +667,16 @@
     /// Carries out what the core wants done, writes it out and waits anew.
     fn settle(&mut self, now: Micros) {
         self.carry_out(now);
-        self.hub.net.settle(now);
         let Hub {
             net, core, workers, ..
         } = &mut self.hub;
+        // The time is read anew, just before calls leave: this process may have stood still.
+        if let Some(until) = core.seated_until() {
+            if until <= self.clock.now() {
+                workers.unseat(now, net, core);
+            }
+        }
+        net.settle(now);
         workers.written(net, core);
     }
 
@@ -656,6 +686,9 @@
         self.commands(now);
         for party in &mut self.parties {
             party.settled(now, &mut self.hub);
+            while let (Some(ops), Some((caller, text))) = (&mut self.ops, party.reply()) {
+                ops.say(caller, &text, &mut self.hub.net);
+            }
         }
         self.tell_partners(now);
     }
--- a/node/src/ops/mod.rs
+++ b/node/src/ops/mod.rs
@@ -23,8 +23,9 @@
 const PATIENCE: Micros = millis(10_000);
 /// How long the listener rests when no descriptor is free.
 const REST: Micros = millis(50);
-/// The longest call, in bytes.
+/// The longest call, in bytes; that of a change may be longer.
 const LONGEST: usize = 512;
+const LONGEST_CHANGE: usize = 128 * 1024;
 
 /// What an operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,21 +39,29 @@
     SetDown(String),
     /// This worker may serve again.
     SetUp(String),
+    /// The records that the fleet has agreed on.
+    Records,
+    /// Change some of them: what is to be changed, as JSON.
+    Change(String),
 }
 
 impl Call {
     /// Reads a line without its end.
     fn read(line: &[u8]) -> Result<Self, &'static str> {
         let line = std::str::from_utf8(line).map_err(|_| "not text")?;
+        if let Some(change) = line.strip_prefix("change ") {
+            return Ok(Call::Change(change.trim().to_owned()));
+        }
         let words: Vec<&str> = line.split_ascii_whitespace().collect();
         match words[..] {
             ["check"] => Ok(Call::Check),
             ["vars"] => Ok(Call::Vars),
             ["members"] => Ok(Call::Members),
+            ["records"] => Ok(Call::Records),
             ["set-down", id] => Ok(Call::SetDown(id.to_owned())),
             ["set-up", id] => Ok(Call::SetUp(id.to_owned())),
             ["set-down" | "set-up", ..] => Err("want the id of one render worker"),
-            _ => Err("unknown call; known: check, vars, members, set-down ID, set-up ID"),
+            _ => Err("unknown call; known: check, vars, members, set-down ID, set-up ID, records, change JSON"),
         }
     }
 }
@@ -136,11 +145,15 @@
         let conn = net.get(token)?;
         let bytes = conn.input.all();
         let end = bytes.iter().position(|b| *b == b'\n');
+        let longest = match bytes.starts_with(b"change ") {
+            true => LONGEST_CHANGE,
+            false => LONGEST,
+        };
         let call = match end {
-            Some(end) if end <= LONGEST => Call::read(&bytes[..end]),
-            None if bytes.len() <= LONGEST && !conn.eof && !conn.broken => return None,
+            Some(end) if end <= longest => Call::read(&bytes[..end]),
+            None if bytes.len() <= longest && !conn.eof && !conn.broken => return None,
             // What was cut off is no call: half of `set-down w12` names another worker.
-            None if bytes.len() <= LONGEST => Err("half a call"),
+            None if bytes.len() <= longest => Err("half a call"),
             _ => Err("the call is too long"),
         };
         match call {
--- a/node/src/party.rs
+++ b/node/src/party.rs
@@ -9,8 +9,11 @@
 use crate::fleet::Fleet;
 use crate::handover::Side;
 use crate::net::{Net, Ready, Token};
+use crate::ops;
 use crate::workers::Workers;
 use marbledeck::{Micros, RequestId, WorkerId};
+use marbledeck_agreement::wire::Answer;
+use marbledeck_agreement::Reader;
 use serde_json::Value;
 
 /// What parties work with.
@@ -22,6 +25,19 @@
     pub workers: Workers,
     pub directory: Directory,
     pub fleet: Fleet,
+    /// What the nodes of the fleet have agreed on, as far as this one knows.
+    pub agreed: Agreed,
+}
+
+/// What the party of the agreement tells the others. Empty where the part is off.
+#[derive(Default)]
+pub struct Agreed {
+    /// What this node may act on; none where the part is off.
+    pub reader: Option<Reader>,
+    /// Counts the readings.
+    pub readings: u64,
+    /// What the last one told of this node's own.
+    pub answer: Answer,
 }
 
 /// One kind of peer. What a party has no use for has a default.
@@ -74,6 +90,16 @@
     /// An invocation that ran waits to be run once more.
     fn requeued(&mut self, _now: Micros, _id: RequestId) {}
 
+    /// An operator calls. Tells whether the call is this party's; it is answered by one [`Party::reply`] then.
+    fn operate(&mut self, _now: Micros, _caller: Token, _call: &ops::Call, _hub: &mut Hub) -> bool {
+        false
+    }
+
+    /// The next answer to an operator.
+    fn reply(&mut self) -> Option<(Token, String)> {
+        None
+    }
+
     /// Leaves new connections to the process that replaces this one, or takes them again where that one is lost.
     fn set_succeeded(&mut self, _succeeded: bool, _hub: &mut Hub) {}
 
--- a/node/src/submission/desk.rs
+++ b/node/src/submission/desk.rs
@@ -12,7 +12,7 @@
 
 fn refused(why: Malformed) -> Problem {
     match why {
-        Malformed::TooMany => Problem::later(why.to_string(), 1000),
+        Malformed::TooMany | Malformed::NoSeat(_) => Problem::later(why.to_string(), 1000),
         _ => Problem::invalid(why.to_string()),
     }
 }
@@ -51,6 +51,7 @@
             cost_hint: None,
             slots: order.slots,
             memory: 0.0,
+            licences: Vec::new(),
             work,
         };
         self.0.core.take_in(now, order).map_err(refused)
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -64,6 +64,8 @@
     untried: bool,
     /// The last byte of its request has left.
     written: bool,
+    /// Bytes of its request.
+    size: usize,
     /// The job that it carries runs.
     started: bool,
     /// When something is to be done about it: connected, probed or idle for too long.
@@ -79,6 +81,7 @@
             sent,
             untried: false,
             written: false,
+            size: 0,
             started: false,
             due: None,
         }
@@ -282,6 +285,7 @@
         };
         // Still entered as the idle link that it was.
         link.untried = self.links.contains_key(&token);
+        link.size = bytes.len();
         if !net.write(token, bytes) {
             self.drop_link(token, net);
             return false;
@@ -391,6 +395,25 @@
         self.wants_signs = wants;
     }
 
+    /// The time is over in which calls that need seats might begin: those of which no byte has left are not made.
+    pub fn unseat(&mut self, now: Micros, net: &mut Net, core: &mut Core) {
+        let mut late = Vec::new();
+        for token in &self.writing {
+            let (Some(link), Some(conn)) = (self.links.get(token), net.get(*token)) else {
+                continue;
+            };
+            let unsent = conn.is_connecting() || conn.output.len() >= link.size;
+            if let Errand::Call(id, _) = link.errand {
+                if !link.written && unsent && core.is_seated(id) {
+                    late.push(*token);
+                }
+            }
+        }
+        for token in late {
+            self.broke(now, token, Outcome::ConnectFailed, net, core);
+        }
+    }
+
     /// Closes all idle connections, and keeps none for a while.
     fn stop_keeping(&mut self, now: Micros, net: &mut Net) {
         if now >= self.distrust {
--- a/node/tests/config.rs
+++ b/node/tests/config.rs
@@ -148,6 +148,57 @@
     );
 }
 
+/// The parts of the agreement and the seats: each fault names its key.
+#[rstest]
+#[case("node = 4", "agreement: node: want 1 to 3")]
+#[case("lease_ms = 100", "agreement: lease_ms: want 300 to 60000")]
+#[case(
+    "lease_ms = 1000",
+    "agreement: lease_ms: want 30 times tick_ms or more"
+)]
+#[case(
+    r#"from = ["here"]"#,
+    "agreement: from[0]: want an address without a port"
+)]
+#[case(r#"fleet = """#, "agreement: fleet: want a name of 1 to 128 bytes")]
+#[case("colour = 1", "agreement.colour: unknown field")]
+#[case("", "agreement: store: missing: this node votes")]
+fn a_faulty_agreement(#[case] line: &str, #[case] message: &str) {
+    let mut keys = vec![
+        "fleet = \"f\"",
+        "node = 1",
+        "nodes = 3",
+        "from = [\"127.0.0.1\"]",
+    ];
+    let name = line.split(' ').next().unwrap_or_default();
+    keys.retain(|key| !key.starts_with(&format!("{name} ")) || name.is_empty());
+    let voter =
+        |n: u32| format!("[[agreement.voters]]\nnumber = {n}\naddress = \"127.0.0.1:730{n}\"\n");
+    let voters: String = (1..=3).map(voter).collect();
+    let text = format!("[agreement]\n{}\n{line}\n{voters}", keys.join("\n"));
+    let path = written(message, &text);
+    let error = SiteConfig::read(&path).err().expect("a fault").to_string();
+    fs::remove_file(&path).unwrap();
+    assert!(error.contains(message), "{error}");
+}
+
+#[rstest]
+#[case("[seats]\nlicences = [\"a\"]", "seats: wants a part [agreement]")]
+#[case(
+    "[seats]\nlicences = [\"a\", \"a\"]",
+    "seats: licences[1]: want a plain name, each once"
+)]
+#[case(
+    "[seats]\nlicences = [\"a\"]\nclasses = { p = [\"b\"] }",
+    "seats: classes.p: 'b' is none of the licences"
+)]
+fn faulty_seats(#[case] text: &str, #[case] message: &str) {
+    let path = written(message, text);
+    let error = SiteConfig::read(&path).err().expect("a fault").to_string();
+    fs::remove_file(&path).unwrap();
+    assert!(error.contains(message), "{error}");
+}
+
 /// The file of the repository is off in all its parts, and with all comments taken away it is right, with the defaults
 /// that it shows.
 #[test]
@@ -155,6 +206,7 @@
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/site.toml");
     let site = SiteConfig::read(&path).unwrap();
     assert!(site.submission.is_none() && site.eureka.is_none() && site.statics.is_empty());
+    assert!(site.agreement.is_none() && site.seats.is_none());
     let text = fs::read_to_string(&path).unwrap();
     let plain = |line: &str| match line.strip_prefix('#') {
         Some(rest) if rest.starts_with('[') || rest.contains(" = ") => rest.to_owned(),
@@ -170,4 +222,5 @@
     fs::remove_file(&front).unwrap();
     assert_eq!(whole.submission, Some(defaults));
     assert!(whole.eureka.is_some() && whole.statics.len() == 1);
+    assert!(whole.agreement.is_some() && whole.seats.is_some());
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -255,6 +255,23 @@
         }
     }
 
+    /// From now on the tenants may ask for so many jobs a second, over all dispatchers: none where no figure is told.
+    /// What a bucket holds stays, within its new burst.
+    pub fn set_quotas(&mut self, now: Micros, quotas: &[Option<f64>]) {
+        for (tenant, quota) in self.settings.tenants.iter_mut().zip(quotas) {
+            tenant.quota = *quota;
+        }
+        let tenants = &self.settings.tenants;
+        let all: f64 = tenants.iter().filter_map(|t| t.quota).sum();
+        let own = tenants.iter().map(|t| t.quota.unwrap_or(t.share * all));
+        let rates = [all].into_iter().chain(own);
+        let dispatchers = self.dispatchers;
+        for (bucket, rate) in self.buckets.iter_mut().zip(rates.map(|r| r / dispatchers)) {
+            bucket.wait(now);
+            (bucket.even_rate, bucket.rate) = (rate, rate);
+        }
+    }
+
     /// Whether this worker is left alone now because it failed lately.
     pub fn rests(&self, now: Micros, worker: WorkerId) -> bool {
         let known = self.fleet.find(worker);
