Hand jobs to other sites by their manifests, one site at a time

`manifest/` has the check (pure, total, every reason) and the errand: which site is asked next, and that a lost answer is asked for again at the same site under the same key. `node/src/sites.rs` is the party that speaks to the other site's front over the batch protocol; catalogs are records of the agreement. A template may carry `manifest`; `forwarded` names the version of the catalog that a job was checked against, and the receiving site refuses another one with its own, before the job is accepted. What came from another site is not sent on. Licences of a manifest take seats. Off without `[sites]`.

--- a/manifest/src/lib.rs
+++ b/manifest/src/lib.rs
@@ -13,6 +13,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod errand;
+
+pub use errand::{Errand, Heard, Known, Step};
+
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::fmt;
@@ -27,6 +31,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Catalog {
+    /// Counts its changes; the site sets it.
+    pub version: u64,
     /// Classes of jobs that it runs.
     pub classes: BTreeSet<String>,
     /// Kinds of worker.
@@ -52,6 +58,7 @@
 impl Default for Catalog {
     fn default() -> Self {
         Catalog {
+            version: 0,
             classes: BTreeSet::new(),
             kinds: BTreeSet::new(),
             slots: 1.0,
--- a/manifest/tests/check.rs
+++ b/manifest/tests/check.rs
@@ -10,6 +10,7 @@
 
 fn site() -> Catalog {
     Catalog {
+        version: 1,
         classes: names(&["preview"]),
         kinds: names(&["r4", "r5"]),
         slots: 2.0,
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -465,6 +465,14 @@
     agreement: Option<AgreementFile>,
     #[serde(default)]
     seats: Option<SeatsFile>,
+    #[serde(default)]
+    sites: Option<SitesFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SitesFile {
+    name: String,
 }
 
 #[derive(Deserialize)]
@@ -829,6 +837,8 @@
     pub agreement: Option<AgreementConfig>,
     /// Licence seats, which need it.
     pub seats: Option<SeatsConfig>,
+    /// This site's name among the sites of the records; none where jobs are not handed to others.
+    pub site: Option<String>,
 }
 
 impl SiteConfig {
@@ -879,7 +889,24 @@
         if seats.is_some() && agreement.is_none() {
             return err(format!("{source}: seats"), "wants a part [agreement]");
         }
+        if read.sites.is_some() && (agreement.is_none() || read.submission.is_none()) {
+            return err(
+                format!("{source}: sites"),
+                "wants the parts [agreement] and [submission]",
+            );
+        }
+        let site = read.sites.map(|file| file.name);
+        if site
+            .as_ref()
+            .is_some_and(|name| name.is_empty() || name.contains('/'))
+        {
+            return err(
+                format!("{source}: sites.name"),
+                "want a name without a slash",
+            );
+        }
         Ok(SiteConfig {
+            site,
             agreement: agreement.transpose()?,
             seats,
             submission: read.submission,
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -16,5 +16,6 @@
 mod ops;
 mod party;
 mod peers;
+mod sites;
 mod submission;
 mod workers;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -14,6 +14,7 @@
 use crate::ops::{self, Call, Ops};
 use crate::party::{Agreed, Hub, Party};
 use crate::peers::Tier;
+use crate::sites::{Outbox, Sites};
 use crate::submission::Submissions;
 use crate::workers::{Figures, Workers};
 use marbledeck::Micros;
@@ -226,6 +227,11 @@
             agreed.reader = Some(part.reader());
             parties.push(Box::new(part));
         }
+        let outbox = site.site.map(Outbox::new);
+        if outbox.is_some() {
+            let peer = Peer::Party(parties.len() as u8);
+            parties.push(Box::new(Sites::new(peer)));
+        }
         workers.wants_signs = members.is_guarded();
         let mut fleet = Fleet::new(members);
         directory.known(now, known, &mut fleet, &mut core);
@@ -260,6 +266,7 @@
                 directory,
                 fleet,
                 agreed,
+                outbox,
             },
             consumers,
             parties,
@@ -314,6 +321,7 @@
             self.hub.core.next_wake(),
             self.hub.workers.next_wake(),
             self.hub.directory.next_wake(),
+            self.hub.outbox.as_ref().and_then(Outbox::next_wake),
             self.hub.fleet.members.next_wake(),
             self.consumers.next_wake(),
             self.ops.as_ref().and_then(Ops::next_wake),
--- a/node/src/party.rs
+++ b/node/src/party.rs
@@ -10,6 +10,7 @@
 use crate::handover::Side;
 use crate::net::{Net, Ready, Token};
 use crate::ops;
+use crate::sites::Outbox;
 use crate::workers::Workers;
 use marbledeck::{Micros, RequestId, WorkerId};
 use marbledeck_agreement::wire::Answer;
@@ -27,6 +28,8 @@
     pub fleet: Fleet,
     /// What the nodes of the fleet have agreed on, as far as this one knows.
     pub agreed: Agreed,
+    /// Jobs that other sites are to run; none where the part is off.
+    pub outbox: Option<Outbox>,
 }
 
 /// What the party of the agreement tells the others. Empty where the part is off.
--- a/node/src/submission/desk.rs
+++ b/node/src/submission/desk.rs
@@ -2,10 +2,11 @@
 
 use crate::core::{Malformed, Order as CoreOrder, Work};
 use crate::party::Hub;
+use crate::sites::Where;
 use marbledeck::{Effect, Micros, RequestId, State};
 use marbledeck_facts::worker_id;
-use marbledeck_submission::message::{Machine, Problem, Queue};
-use marbledeck_submission::{ClassFacts, Desk, Order};
+use marbledeck_submission::message::{ErrorId, Machine, Problem, Queue};
+use marbledeck_submission::{ClassFacts, Desk, Order, Template, Whereabouts};
 
 /// Lends the node's parts to the server for one step.
 pub struct NodeDesk<'a>(pub &'a mut Hub);
@@ -36,7 +37,33 @@
         checked.map(drop).map_err(refused)
     }
 
+    fn place(&self, template: &Template) -> Result<Whereabouts, Problem> {
+        let Hub {
+            outbox,
+            agreed,
+            now,
+            ..
+        } = &*self.0;
+        match outbox {
+            None if template.manifest.is_some() || template.forwarded.is_some() => {
+                let words = "`manifest` is not supported: this node has no part [sites]";
+                Err(Problem::new(ErrorId::UnsupportedAttribute, words))
+            }
+            None => Ok(Whereabouts::Here),
+            Some(outbox) => match outbox.place(*now, template, agreed)? {
+                Where::Here => Ok(Whereabouts::Here),
+                Where::Elsewhere => Ok(Whereabouts::Elsewhere),
+            },
+        }
+    }
+
     fn take_in(&mut self, now: Micros, order: Order) -> Result<RequestId, Problem> {
+        if let (Whereabouts::Elsewhere, Some(outbox)) = (order.place, &mut self.0.outbox) {
+            return Ok(outbox.take_in(now, &order));
+        }
+        let manifest = order.template.manifest.as_ref();
+        let needs = manifest.into_iter().flat_map(|manifest| &manifest.licences);
+        let licences = needs.map(String::as_str).collect();
         let work = Work {
             txn: order.txn,
             key: order.key,
@@ -51,17 +78,24 @@
             cost_hint: None,
             slots: order.slots,
             memory: 0.0,
-            licences: Vec::new(),
+            licences,
             work,
         };
         self.0.core.take_in(now, order).map_err(refused)
     }
 
     fn recall(&mut self, now: Micros, id: RequestId) -> bool {
+        if let Some(outbox) = self.0.outbox.as_mut().filter(|outbox| outbox.has(id)) {
+            return outbox.recall(id);
+        }
         self.0.core.recall(now, id)
     }
 
     fn gone(&mut self, now: Micros, id: RequestId) -> Option<Micros> {
+        if let Some(outbox) = self.0.outbox.as_mut().filter(|outbox| outbox.has(id)) {
+            outbox.gone(id);
+            return Some(now);
+        }
         self.0.core.gone(now, id)
     }
 
--- a/node/tests/config.rs
+++ b/node/tests/config.rs
@@ -192,6 +192,10 @@
     "[seats]\nlicences = [\"a\"]\nclasses = { p = [\"b\"] }",
     "seats: classes.p: 'b' is none of the licences"
 )]
+#[case(
+    "[sites]\nname = \"a\"",
+    "sites: wants the parts [agreement] and [submission]"
+)]
 fn faulty_seats(#[case] text: &str, #[case] message: &str) {
     let path = written(message, text);
     let error = SiteConfig::read(&path).err().expect("a fault").to_string();
@@ -206,7 +210,7 @@
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/site.toml");
     let site = SiteConfig::read(&path).unwrap();
     assert!(site.submission.is_none() && site.eureka.is_none() && site.statics.is_empty());
-    assert!(site.agreement.is_none() && site.seats.is_none());
+    assert!(site.agreement.is_none() && site.seats.is_none() && site.site.is_none());
     let text = fs::read_to_string(&path).unwrap();
     let plain = |line: &str| match line.strip_prefix('#') {
         Some(rest) if rest.starts_with('[') || rest.contains(" = ") => rest.to_owned(),
@@ -222,5 +226,5 @@
     fs::remove_file(&front).unwrap();
     assert_eq!(whole.submission, Some(defaults));
     assert!(whole.eureka.is_some() && whole.statics.len() == 1);
-    assert!(whole.agreement.is_some() && whole.seats.is_some());
+    assert!(whole.agreement.is_some() && whole.seats.is_some() && whole.site.is_some());
 }
--- a/submission/src/lib.rs
+++ b/submission/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod template;
 mod transfer;
 
-pub use server::{ClassFacts, Desk, Holds, Limits, Order, Server, Verdict};
+pub use server::{ClassFacts, Desk, Holds, Limits, Order, Server, Verdict, Whereabouts};
 pub use state::{Change, JobState};
 pub use template::Template;
 pub use transfer::{Side, Transfer};
--- a/submission/src/message.rs
+++ b/submission/src/message.rs
@@ -246,6 +246,9 @@
     /// In how many milliseconds another try is worth it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// The version of this site's catalog, where the job was checked against another.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub catalog_version: Option<u64>,
 }
 
 impl JobInfo {
@@ -266,6 +269,7 @@
             error,
             message: message.into(),
             retry_after_ms: None,
+            catalog_version: None,
         }
     }
 
--- a/submission/src/server.rs
+++ b/submission/src/server.rs
@@ -42,6 +42,8 @@
 const PAGE_BYTES: usize = 64 * 1024;
 /// The longest that a job may be waited for, in milliseconds.
 const LONGEST_MS: u64 = 24 * 3600 * 1000;
+/// How long a job is waited for that another site runs, where nothing says it.
+const ELSEWHERE: Micros = Micros(600_000_000);
 /// When to come back to a node that is ending: by then another serves.
 const ENDING_MS: u64 = 2000;
 
@@ -78,6 +80,20 @@
     pub key: Option<String>,
     pub target: String,
     pub body: Vec<u8>,
+    /// Where it is to run.
+    pub place: Whereabouts,
+    /// All that was handed in, and the index in an array.
+    pub template: &'a Template,
+    pub index: Option<i64>,
+}
+
+/// Where a job is to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Whereabouts {
+    /// At this site.
+    Here,
+    /// At another.
+    Elsewhere,
 }
 
 /// What a class is.
@@ -111,6 +127,13 @@
     /// # Errors
     /// What [`Desk::take_in`] would say.
     fn check(&self, class: &str, tenant: Option<&str>, keyed: bool) -> Result<(), Problem>;
+    /// Where a job is to run, by its manifest.
+    ///
+    /// # Errors
+    /// At no site, or it cannot be known now.
+    fn place(&self, _template: &Template) -> Result<Whereabouts, Problem> {
+        Ok(Whereabouts::Here)
+    }
     /// Hands a job over. From here on it gets one [`Server::answer`].
     ///
     /// # Errors
@@ -853,7 +876,9 @@
         self.jobs.room(now, size)?;
         let keyed = template.submission_key.is_some();
         let tenant = template.accounting_id.as_deref();
-        desk.check(template.class(), tenant, keyed)?;
+        if desk.place(template)? == Whereabouts::Here {
+            desk.check(template.class(), tenant, keyed)?;
+        }
         let facts = desk.class(template.class()).unwrap_or_default();
         if template.rerunnable == Some(false) && facts.reruns {
             let words = "`rerunnable` cannot be false: jobs of this class are run again where that is allowed";
@@ -1852,7 +1877,17 @@
     let asked = template
         .deadline_ms
         .map(|ms| Micros(1000 * ms.min(LONGEST_MS)));
-    let mut time_left = asked.unwrap_or(facts.deadline);
+    let place = desk.place(template)?;
+    let run = template
+        .manifest
+        .as_ref()
+        .and_then(|manifest| manifest.run_ms);
+    let usual = match (place, run) {
+        (Whereabouts::Here, _) => facts.deadline,
+        (Whereabouts::Elsewhere, Some(run)) => Micros(2000 * run.min(LONGEST_MS)),
+        (Whereabouts::Elsewhere, None) => ELSEWHERE,
+    };
+    let mut time_left = asked.unwrap_or(usual);
     if let Some(until) = template.deadline_time.map(unix) {
         time_left = time_left.min(until - now);
     }
@@ -1865,6 +1900,9 @@
         key: template.key_at(index),
         target: template.command_at(index),
         body: template.body_at(index)?,
+        place,
+        template,
+        index,
     };
     let invocation = desk.take_in(now, order)?;
     Ok((invocation, now + time_left))
--- a/submission/src/template.rs
+++ b/submission/src/template.rs
@@ -3,6 +3,7 @@
 
 use crate::message::{ErrorId, Problem};
 use base64::prelude::{Engine, BASE64_STANDARD};
+use marbledeck_manifest::Manifest;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
@@ -37,7 +38,7 @@
 ];
 
 /// The attributes that mean something here, as the capabilities tell them.
-pub const SUPPORTED: [&str; 15] = [
+pub const SUPPORTED: [&str; 16] = [
     "accountingId",
     "args",
     "deadlineMs",
@@ -46,6 +47,7 @@
     "inputBase64",
     "jobCategory",
     "jobName",
+    "manifest",
     "minSlots",
     "queueName",
     "remoteCommand",
@@ -103,11 +105,27 @@
     /// Whether it may be run again after an error. `false` is refused for a class that the decisions run again.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rerunnable: Option<bool>,
+    /// What it needs of a site. One that does not fit here is handed to another site.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub manifest: Option<Manifest>,
+    /// Another site has handed it over.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub forwarded: Option<Forwarded>,
     /// What else the message held; none of it is served.
     #[serde(flatten)]
     pub others: Map<String, Value>,
 }
 
+/// What a site says of a job that it hands over.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct Forwarded {
+    /// The site.
+    pub from: String,
+    /// The version of the catalog that it has checked the job against.
+    pub catalog: u64,
+}
+
 fn word(text: &str) -> bool {
     let fits = !text.is_empty() && text.len() <= MAX_WORD;
     fits && text.bytes().all(|b| b.is_ascii_graphic())
@@ -246,6 +264,14 @@
             None if self.job_category.is_empty() => return invalid("missing field `jobCategory`"),
             _ => {}
         }
+        if let Some(manifest) = &self.manifest {
+            if let Err(wrong) = manifest.validate() {
+                return Err(Problem::invalid(format!("manifest.{wrong}")));
+            }
+            if manifest.class != self.class() {
+                return invalid("manifest.class is another than the job's");
+            }
+        }
         if let (Some(start), Some(deadline)) = (self.start_time, self.deadline_time) {
             if start >= deadline {
                 return invalid("startTime is not before deadlineTime");
