Search readings, activation and seats in every order; test each end of a seated call

agreement/tests/model.rs (stateright): two nodes, one seat, an exclusive record; questions and commands lost, repeated and late, a crash, another leader, nodes wrongly taken for dead. `nothing_leaves_before_it_is_durable` now plays a full disk, too.

--- a/agreement/src/reader.rs
+++ b/agreement/src/reader.rs
@@ -39,7 +39,7 @@
     Never,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Known {
     record: Record,
     before: Option<Record>,
@@ -48,7 +48,7 @@
 }
 
 /// One node's readings.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Reader {
     terms: Terms,
     records: BTreeMap<String, Known>,
--- a/agreement/src/warden.rs
+++ b/agreement/src/warden.rs
@@ -8,7 +8,7 @@
 
 /// Watches over seats while its voter leads. What it has seen counts from its own observation: a voter that has just
 /// become the leader waits anew.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Warden {
     terms: Terms,
     since: Micros,
--- a/agreement/tests/fleet.rs
+++ b/agreement/tests/fleet.rs
@@ -908,6 +908,29 @@
         }
     }
     assert!(promised > 0 && a.leads(), "{promised} promises");
+    // Its disk takes nothing from now on: it leads no more, and says nothing, until a write gets through.
+    a.stall();
+    let mut last = 0;
+    for _ in 0..20 {
+        a.tick();
+        let work = a.work();
+        assert!(
+            work.send.is_empty() && !a.leads(),
+            "it speaks with a full disk"
+        );
+        last = work.saves.last().map_or(last, |save| save.ticket);
+    }
+    a.propose(&Command {
+        node: 1,
+        boot: 1,
+        number: 1,
+        what: What::Change(Change::default()),
+    });
+    let saves = a.work().saves;
+    a.saved(saves.last().map_or(last, |save| save.ticket));
+    a.tick();
+    a.tick();
+    assert!(!a.work().send.is_empty(), "it is silent for good");
 }
 
 /// A leader whose disk is full gives way, and what was agreed goes on without it.
--- /dev/null
+++ b/agreement/tests/model.rs
@@ -0,0 +1,525 @@
+//! Readings, activation and seats in every order of what can happen, up to a bound: two nodes, one seat, an exclusive
+//! record. Questions and commands are lost, repeated and late; nodes crash and start anew; the leader changes; a node that
+//! does nothing for a while stands still. The book, the reader, the desk and the warden are the real ones.
+
+use marbledeck::Micros;
+use marbledeck_agreement::wire::Answer;
+use marbledeck_agreement::{
+    Acting, Body, Book, Change, Command, Reader, Record, Stream, Terms, Warden, What,
+};
+use marbledeck_seats::{Desk, Licence, Move, Pool, Reading};
+use stateright::{Checker, Model, Property};
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+
+const TICK: u64 = 1_000_000;
+/// A reading holds for a tick, and a call runs for one at most.
+const TERMS: Terms = Terms {
+    lease: Micros(TICK),
+    drift: 0.0,
+};
+const RUN: u64 = 1;
+const SEAT: &[Licence] = &[Licence(0)];
+
+/// By what it shows: everything of it counts.
+#[derive(Clone, Debug)]
+struct Shown<T>(T);
+
+impl<T: std::fmt::Debug> Hash for Shown<T> {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        format!("{:?}", self.0).hash(state);
+    }
+}
+
+impl<T: std::fmt::Debug> PartialEq for Shown<T> {
+    fn eq(&self, other: &Self) -> bool {
+        format!("{:?}", self.0) == format!("{:?}", other.0)
+    }
+}
+
+#[derive(Clone, Debug, Hash, PartialEq)]
+struct Node {
+    reader: Shown<Reader>,
+    desk: Shown<Desk>,
+    boot: u64,
+    /// Its calls whose end it has not heard: when each was sent, and when it ends at its worker.
+    calls: Vec<(u64, u64)>,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq)]
+enum Msg {
+    Question {
+        node: u32,
+        boot: u64,
+        question: u64,
+        known: u64,
+    },
+    Answer {
+        node: u32,
+        boot: u64,
+        answer: Shown<Answer>,
+    },
+    Command(Shown<Command>),
+}
+
+#[derive(Clone, Debug, Hash, PartialEq)]
+struct State {
+    at: u64,
+    book: Shown<Book>,
+    warden: Shown<Warden>,
+    nodes: Vec<Node>,
+    msgs: Vec<Msg>,
+    /// When the calls that run at workers end.
+    running: Vec<u64>,
+    crashes: u8,
+    leaders: u8,
+    changes: u64,
+    asks: u8,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Act {
+    Tick,
+    Ask(usize),
+    /// A question reaches a voter, and is answered with what holds then.
+    Answer(usize),
+    Deliver(usize),
+    Lose(usize),
+    Repeat(usize),
+    Call(usize),
+    /// A node hears that its call has ended, or gives it up.
+    End(usize, bool),
+    Crash(usize),
+    Lead,
+    /// The leader takes a node for dead.
+    Suspect(usize),
+    /// The leader sees to the seats of the dead.
+    Watch,
+    Change,
+}
+
+struct Fleet {
+    until: u64,
+    msgs: usize,
+    crashes: u8,
+    leaders: u8,
+    changes: u64,
+    /// The first node holds the seat to begin with, and the leader may take any node for dead at any time.
+    held: bool,
+}
+
+fn answer(book: &Book, node: u32, boot: u64, question: u64, known: u64) -> Answer {
+    let part = |(pool, tenant, seats)| (pool, tenant, seats, 0);
+    Answer {
+        question,
+        revision: book.revision(),
+        records: book
+            .since(known)
+            .map(|(name, record)| (name.clone(), record.clone()))
+            .collect(),
+        moved: book
+            .last(node, boot, Stream::Seats)
+            .map_or(0, |(number, _)| number),
+        changed: None,
+        parts: book
+            .seats()
+            .holds(node, boot)
+            .into_iter()
+            .map(part)
+            .collect(),
+        stale: book.is_stale(node, boot),
+    }
+}
+
+impl Node {
+    fn read(&mut self, time: Micros, answer: &Answer) {
+        let reader = &mut self.reader.0;
+        if !reader.answered(time, answer) {
+            return;
+        }
+        let pools = match reader.acting(time, "seats/av1") {
+            Acting::On(Record {
+                body: Some(Body::Pool(pool)),
+                ..
+            }) => {
+                vec![("av1".to_owned(), Micros(pool.longest_run_ms * 1000))]
+            }
+            _ => Vec::new(),
+        };
+        let (until, parts) = (reader.until(), answer.held());
+        self.desk.0.read(&Reading {
+            until,
+            done: answer.moved,
+            parts,
+            pools,
+        });
+    }
+}
+
+fn node() -> Node {
+    let desk = Desk::new(vec!["av1".into()], Vec::new(), Micros(100 * TICK));
+    Node {
+        reader: Shown(Reader::new(TERMS)),
+        desk: Shown(desk),
+        boot: 1,
+        calls: Vec::new(),
+    }
+}
+
+fn put(record: &str, version: u64, body: Body) -> What {
+    What::Change(Change {
+        expect: [(record.to_owned(), version)].into(),
+        put: [(record.to_owned(), Some(body))].into(),
+        exclusive: [record.to_owned()].into(),
+    })
+}
+
+/// Long before all that is played.
+fn before() -> Micros {
+    Micros(TICK)
+}
+
+fn now(at: u64) -> Micros {
+    // Not from 0: that is a time before all others.
+    Micros((at + 10) * TICK)
+}
+
+impl State {
+    fn command(&mut self, what: What) {
+        self.book.0.apply(&Command {
+            node: 0,
+            boot: 0,
+            number: 0,
+            what,
+        });
+    }
+
+    fn version(&self, node: &Node) -> Option<u64> {
+        match node.reader.0.acting(now(self.at), "workers/out") {
+            Acting::On(record) => Some(record.version),
+            _ => None,
+        }
+    }
+}
+
+impl Model for Fleet {
+    type State = State;
+    type Action = Act;
+
+    fn init_states(&self) -> Vec<State> {
+        let mut state = State {
+            at: 0,
+            book: Shown(Book::default()),
+            warden: Shown(Warden::new(now(0), TERMS)),
+            nodes: vec![node(), node()],
+            msgs: Vec::new(),
+            running: Vec::new(),
+            crashes: 0,
+            leaders: 0,
+            changes: 0,
+            asks: 0,
+        };
+        let pool = Pool {
+            seats: 1,
+            guaranteed: BTreeMap::new(),
+            longest_run_ms: RUN * TICK / 1000,
+        };
+        let What::Change(mut change) = put("seats/av1", 0, Body::Pool(pool)) else {
+            unreachable!("a change was made");
+        };
+        change.exclusive.clear();
+        state.command(What::Change(change));
+        if self.held {
+            let want = Move::Want {
+                pool: "av1".into(),
+                tenant: String::new(),
+                seats: 1,
+            };
+            state.book.0.apply(&Command {
+                node: 0,
+                boot: 1,
+                number: 1,
+                what: What::Seats(want),
+            });
+        }
+        if self.changes > 0 {
+            state.command(put("workers/out", 0, Body::Out(Default::default())));
+        }
+        // Both have a reading to begin with; the second node lacks a seat.
+        for n in 0..2 {
+            let (question, known) = state.nodes[n].reader.0.ask(before());
+            let answer = answer(&state.book.0, n as u32, 1, question, known);
+            state.nodes[n].read(before(), &answer);
+        }
+        let _ = state.nodes[1].desk.0.look(before(), SEAT, 0);
+        for n in 0..2 {
+            let (question, known) = state.nodes[n].reader.0.ask(now(0));
+            let answer = answer(&state.book.0, n as u32, 1, question, known);
+            state.nodes[n].read(now(0), &answer);
+        }
+        vec![state]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Act>) {
+        if state.at < self.until {
+            actions.push(Act::Tick);
+        }
+        for (n, node) in state.nodes.iter().enumerate() {
+            if state.msgs.len() < self.msgs && (!self.held || state.asks < 2) {
+                actions.push(Act::Ask(n));
+            }
+            if self.held
+                && state
+                    .book
+                    .0
+                    .seats()
+                    .holders()
+                    .contains(&(n as u32, node.boot))
+            {
+                actions.push(Act::Suspect(n));
+            }
+            actions.push(Act::Call(n));
+            if node.calls.iter().any(|(_, end)| *end <= state.at) {
+                actions.push(Act::End(n, true));
+            }
+            if !node.calls.is_empty() {
+                actions.push(Act::End(n, false));
+            }
+            if state.crashes < self.crashes {
+                actions.push(Act::Crash(n));
+            }
+        }
+        for (m, msg) in state.msgs.iter().enumerate() {
+            match msg {
+                Msg::Question { .. } => actions.push(Act::Answer(m)),
+                Msg::Answer { .. } => actions.push(Act::Deliver(m)),
+                Msg::Command(_) => {
+                    actions.push(Act::Deliver(m));
+                    if state.msgs.len() < self.msgs && !self.held {
+                        actions.push(Act::Repeat(m));
+                    }
+                }
+            }
+            if !self.held {
+                actions.push(Act::Lose(m));
+            }
+        }
+        if state.leaders < self.leaders {
+            actions.push(Act::Lead);
+        }
+        actions.push(Act::Watch);
+        if state.changes < self.changes {
+            actions.push(Act::Change);
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Act) -> Option<State> {
+        let mut state = last.clone();
+        let time = now(state.at);
+        match action {
+            Act::Tick => {
+                state.at += 1;
+                let at = state.at;
+                state.running.retain(|end| *end > at);
+            }
+            Act::Ask(n) => {
+                state.asks += u8::from(self.held);
+                let node = &mut state.nodes[n];
+                if let Some((number, what)) = node.desk.0.command(time) {
+                    let command = Command {
+                        node: n as u32,
+                        boot: node.boot,
+                        number,
+                        what: What::Seats(what),
+                    };
+                    state.msgs.push(Msg::Command(Shown(command)));
+                }
+                let (question, known) = node.reader.0.ask(time);
+                let boot = node.boot;
+                state.msgs.push(Msg::Question {
+                    node: n as u32,
+                    boot,
+                    question,
+                    known,
+                });
+            }
+            Act::Answer(m) => {
+                let Msg::Question {
+                    node,
+                    boot,
+                    question,
+                    known,
+                } = state.msgs.remove(m)
+                else {
+                    return None;
+                };
+                let answer = answer(&state.book.0, node, boot, question, known);
+                state.msgs.push(Msg::Answer {
+                    node,
+                    boot,
+                    answer: Shown(answer),
+                });
+            }
+            Act::Deliver(m) => match state.msgs.remove(m) {
+                Msg::Command(command) => drop(state.book.0.apply(&command.0)),
+                Msg::Answer { node, boot, answer } => {
+                    let node = &mut state.nodes[node as usize];
+                    if node.boot == boot {
+                        node.read(time, &answer.0);
+                    }
+                }
+                Msg::Question { .. } => return None,
+            },
+            Act::Lose(m) => drop(state.msgs.remove(m)),
+            Act::Repeat(m) => state.msgs.push(state.msgs[m].clone()),
+            Act::Call(n) => {
+                let node = &mut state.nodes[n];
+                if node.desk.0.take(time, SEAT, 0).is_ok() {
+                    let end = state.at + RUN;
+                    node.calls.push((state.at, end));
+                    state.running.push(end);
+                }
+            }
+            Act::End(n, known) => {
+                let node = &mut state.nodes[n];
+                let over = |(_, end): &(u64, u64)| !known || *end <= state.at;
+                let at = node.calls.iter().position(over)?;
+                let (sent, _) = node.calls.remove(at);
+                node.desk.0.end(now(sent), SEAT, 0, known);
+            }
+            Act::Crash(n) => {
+                let boot = state.nodes[n].boot + 1;
+                state.nodes[n] = Node { boot, ..node() };
+                state.crashes += 1;
+            }
+            Act::Lead => {
+                state.warden = Shown(Warden::new(time, TERMS));
+                state.leaders += 1;
+            }
+            Act::Suspect(n) => {
+                let boot = state.nodes[n].boot;
+                state.command(What::Seats(Move::Reclaim {
+                    node: n as u32,
+                    boot,
+                }));
+                // It looks at what ebbs at once.
+                let _ = state.warden.0.due(time, &state.book.0);
+            }
+            Act::Watch => {
+                for what in state.warden.0.due(time, &last.book.0) {
+                    state.command(what);
+                }
+            }
+            Act::Change => {
+                let out = Body::Out([format!("w{}", state.changes)].into());
+                state.command(put("workers/out", state.changes + 1, out));
+                state.changes += 1;
+            }
+        }
+        Some(state)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always(
+                "no more calls run than there are seats",
+                |_, state: &State| state.running.len() <= 1,
+            ),
+            Property::always(
+                "no two versions of an exclusive record act",
+                |_, state: &State| {
+                    let acting: Vec<u64> = state
+                        .nodes
+                        .iter()
+                        .filter_map(|node| state.version(node))
+                        .collect();
+                    acting.windows(2).all(|pair| pair[0] == pair[1])
+                },
+            ),
+            // Else nothing was tried.
+            Property::sometimes("a call runs", |_, state: &State| !state.running.is_empty()),
+            Property::sometimes(
+                "a node that was started anew has the seat",
+                |_, state: &State| {
+                    let again = |node: &Node| node.boot > 1 && !node.calls.is_empty();
+                    state.nodes.iter().any(again)
+                },
+            ),
+            Property::sometimes("a later version acts", |_, state: &State| {
+                state
+                    .nodes
+                    .iter()
+                    .any(|node| state.version(node) == Some(2))
+            }),
+        ]
+    }
+}
+
+/// Looks at every state to this depth. Of the things that must happen at times, these must have.
+fn search(fleet: Fleet, depth: usize, seen: &[&'static str]) {
+    let more = std::env::var("MARBLEDECK_DEPTH")
+        .ok()
+        .and_then(|n| n.parse::<usize>().ok());
+    let depth = depth + more.unwrap_or(0);
+    let checker = fleet
+        .checker()
+        .threads(1)
+        .target_max_depth(depth)
+        .spawn_bfs()
+        .join();
+    let (all, different) = (checker.state_count(), checker.unique_state_count());
+    println!("{all} states, {different} of them different, to depth {depth}");
+    for always in [
+        "no more calls run than there are seats",
+        "no two versions of an exclusive record act",
+    ] {
+        if let Some(path) = checker.discovery(always) {
+            panic!("{always}: {:?}", path.into_actions());
+        }
+    }
+    for sometimes in seen {
+        assert!(checker.discovery(sometimes).is_some(), "never: {sometimes}");
+    }
+}
+
+/// Seats with lost and repeated messages, a crash and another leader.
+#[test]
+fn seats_in_every_order() {
+    let fleet = Fleet {
+        until: 4,
+        msgs: 2,
+        crashes: 1,
+        leaders: 1,
+        changes: 0,
+        held: false,
+    };
+    search(fleet, 9, &["a call runs"]);
+}
+
+/// A node that holds the seat is taken for dead, rightly or not, while it goes on as it may.
+#[test]
+fn seats_of_a_node_taken_for_dead() {
+    let fleet = Fleet {
+        until: 4,
+        msgs: 2,
+        crashes: 0,
+        leaders: 0,
+        changes: 0,
+        held: true,
+    };
+    search(fleet, 11, &["a call runs"]);
+}
+
+/// An exclusive record that is changed.
+#[test]
+fn activation_in_every_order() {
+    let fleet = Fleet {
+        until: 4,
+        msgs: 2,
+        crashes: 0,
+        leaders: 0,
+        changes: 1,
+        held: false,
+    };
+    search(fleet, 10, &["a later version acts"]);
+}
--- a/seats/src/desk.rs
+++ b/seats/src/desk.rs
@@ -64,7 +64,7 @@
     pub pools: Vec<(String, Micros)>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Own {
     seats: u32,
     recalled: u32,
@@ -96,7 +96,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Local {
     name: String,
     there: bool,
@@ -106,7 +106,7 @@
 }
 
 /// The seats of one start of a node.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Desk {
     tenants: Vec<String>,
     pools: Vec<Local>,
