Keep voters reachable after cuts, and wait for a store that another process has

An earlier connection of the same node is closed now, and one that has not said who it is makes room. - A connection to a voter that never acknowledges was kept until a megabyte and more was unsent. The kernel ends it after a lease now (TCP_USER_TIMEOUT). - The process that replaces a voter's found its store in use and never voted. It tries again every half second, and takes connections once it has it.

--- a/agreement/tests/fleet.rs
+++ b/agreement/tests/fleet.rs
@@ -473,7 +473,7 @@
                 node.desk.end(sent, &[Licence(0)], 0, known);
             }
             // Where demand moves, it is a quarter of the nodes at a time that has it.
-            let wants = !self.greedy || (n as u64 + at / 10_000_000) % 4 == 0;
+            let wants = !self.greedy || (n as u64 + at / 10_000_000).is_multiple_of(4);
             if wants && self.rng.chance(if self.greedy { 0.5 } else { 0.05 }) {
                 match node.desk.take(now, &[Licence(0)], 0) {
                     Ok(()) => {
--- a/node/src/agreement/mod.rs
+++ b/node/src/agreement/mod.rs
@@ -15,7 +15,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::fmt::Write as _;
 use std::io;
-use voting::{Asker, Voting};
+use voting::{Asker, NoVote, Voting};
 
 /// What a connection may hold each way: a frame, and the beginning of the next.
 const HELD: usize = wire::LONGEST + 64 * 1024;
@@ -26,6 +26,8 @@
 const REST: Micros = millis(50);
 /// How long a voter that takes no connection is left alone, and how often another one is tried.
 const AGAIN: Micros = millis(250);
+/// How often a store is tried again that another process has.
+const OPENING: Micros = millis(500);
 /// Changes of operators that may wait for their outcome.
 const MOST_CHANGES: usize = 8;
 
@@ -57,6 +59,8 @@
     /// This start: later ones have greater numbers.
     boot: u64,
     listener: Option<Token>,
+    /// When the store is tried again.
+    opening: Option<Micros>,
     resting: Option<Micros>,
     guests: HashMap<Token, Guest>,
     hosts: HashMap<Token, Host>,
@@ -87,39 +91,20 @@
         config: AgreementConfig,
         peer: Peer,
         now: Micros,
-        hub_net: &mut Net,
+        net: &mut Net,
     ) -> io::Result<Self> {
-        let own = config
-            .voters
-            .iter()
-            .find(|voter| voter.number == u64::from(config.node));
-        let mut listener = None;
-        let mut voting = None;
-        if let Some(own) = own {
-            let (token, addr) = hub_net.listen(own.address, None, peer)?;
-            log::info!(
-                "agreement: voter {} takes connections at {addr}",
-                own.number
-            );
-            listener = Some(token);
-            match Voting::open(&config, now, peer, hub_net) {
-                Ok(open) => voting = Some(open),
-                Err((what, advice)) => {
-                    log::error!("agreement: {what}; this node does not vote: {advice}")
-                }
-            }
-        }
-        Ok(Agreement {
+        let mut agreement = Agreement {
             turn: config.node as usize % config.voters.len(),
             config,
             peer,
             boot: now.0,
-            listener,
+            listener: None,
+            opening: None,
             resting: None,
             guests: HashMap::new(),
             hosts: HashMap::new(),
             again: HashMap::new(),
-            voting,
+            voting: None,
             waiting: Vec::new(),
             next_ask: now,
             question: None,
@@ -128,7 +113,37 @@
             replies: VecDeque::new(),
             applied: apply::Applied::default(),
             now,
-        })
+        };
+        agreement.open(now, net)?;
+        Ok(agreement)
+    }
+
+    /// Begins to vote, where this node is to. A store that another process has is tried again: one that this one
+    /// replaces may be about to end. Others connect once it is open.
+    fn open(&mut self, now: Micros, net: &mut Net) -> io::Result<()> {
+        let number = u64::from(self.config.node);
+        let own = self.config.voters.iter().find(|v| v.number == number);
+        let Some(own) = own.map(|voter| voter.address) else {
+            return Ok(());
+        };
+        self.opening = None;
+        match Voting::open(&self.config, now, self.peer, net) {
+            Ok(voting) => self.voting = Some(voting),
+            Err(NoVote {
+                again: true, what, ..
+            }) => {
+                log::warn!("agreement: {what}; tried again until it can be had");
+                self.opening = Some(now + OPENING);
+                return Ok(());
+            }
+            Err(NoVote { what, advice, .. }) => {
+                log::error!("agreement: {what}; this node does not vote: {advice}");
+            }
+        }
+        let (token, addr) = net.listen(own, None, self.peer)?;
+        log::info!("agreement: voter {number} takes connections at {addr}");
+        self.listener = Some(token);
+        Ok(())
     }
 
     /// What this node may act on, to begin with nothing.
@@ -170,6 +185,14 @@
                 Ok(Some(token)) => {
                     let ip = net.peer_addr(token).map(|addr| addr.ip());
                     let known = ip.is_some_and(|ip| self.config.from.contains(&ip));
+                    if known && self.guests.len() >= self.config.guests() {
+                        // One that has not said who it is makes room for one that may.
+                        let silent = |(_, guest): &(&Token, &Guest)| guest.node.is_none();
+                        let oldest = self.guests.iter().filter(silent).map(|(t, _)| *t).min();
+                        if let Some(token) = oldest {
+                            self.let_go(now, token, net);
+                        }
+                    }
                     if !known || self.guests.len() >= self.config.guests() {
                         log::warn!("agreement: a connection from {ip:?} is not heeded");
                         net.close(token);
@@ -210,6 +233,8 @@
             .address;
         let token = net.connect(addr, self.peer).ok()?;
         net.widen(token, HELD);
+        // What a machine that has vanished never acknowledges: the connection ends, and another is tried.
+        net.give_up_after(token, self.config.terms.lease);
         self.hosts.insert(
             token,
             Host {
@@ -307,6 +332,13 @@
                     }
                     guest.node = Some(node);
                     hub.net.widen(token, HELD);
+                    // An earlier connection of the same node is one that it has given up: it may never end by itself.
+                    let earlier = |(t, g): &(&Token, &Guest)| **t != token && g.node == Some(node);
+                    let earlier = self.guests.iter().filter(earlier).map(|(t, _)| *t);
+                    for old in earlier.collect::<Vec<_>>() {
+                        hub.net.close(old);
+                        self.guests.remove(&old);
+                    }
                     if let (Some((number, store)), Some(voting)) = (voter, &mut self.voting) {
                         voting.hello(token, number, store);
                     }
@@ -628,6 +660,13 @@
         for token in std::mem::take(&mut self.waiting) {
             self.read(now, token, hub);
         }
+        if self.opening.is_some_and(|at| at <= now) {
+            if let Err(e) = self.open(now, &mut hub.net) {
+                log::error!("agreement: {e}; tried again");
+                self.voting = None;
+                self.opening = Some(now + OPENING);
+            }
+        }
         if let Some(voting) = &mut self.voting {
             voting.tick(now);
         }
--- a/node/src/agreement/voting.rs
+++ b/node/src/agreement/voting.rs
@@ -6,7 +6,7 @@
 use marbledeck::Micros;
 use marbledeck_agreement::wire::{Answer, Frame, Said};
 use marbledeck_agreement::{AgreementError, Command, Durable, Save, Stream, Terms, Voter, Warden};
-use marbledeck_store::{Done, Loaded, Store, Write};
+use marbledeck_store::{Done, Loaded, Store, StoreError, Write};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io::Read;
 use std::os::unix::net::UnixStream;
@@ -81,6 +81,25 @@
     due: Micros,
 }
 
+/// Why this node does not vote.
+pub struct NoVote {
+    pub what: String,
+    /// What an operator can do.
+    pub advice: &'static str,
+    /// Another process has the store: it may be had later.
+    pub again: bool,
+}
+
+impl NoVote {
+    fn descriptors(e: std::io::Error) -> Self {
+        NoVote {
+            what: e.to_string(),
+            advice: "raise the limit of descriptors",
+            again: false,
+        }
+    }
+}
+
 /// A number that no other store has.
 fn draw() -> u64 {
     use std::hash::{BuildHasher, RandomState};
@@ -103,11 +122,10 @@
         now: Micros,
         peer: Peer,
         net: &mut Net,
-    ) -> Result<Self, (String, &'static str)> {
-        let pipe_failed = |e: std::io::Error| (e.to_string(), "raise the limit of descriptors");
-        let (out, pipe) = UnixStream::pair().map_err(pipe_failed)?;
-        out.set_nonblocking(true).map_err(pipe_failed)?;
-        pipe.set_nonblocking(true).map_err(pipe_failed)?;
+    ) -> Result<Self, NoVote> {
+        let (out, pipe) = UnixStream::pair().map_err(NoVote::descriptors)?;
+        out.set_nonblocking(true).map_err(NoVote::descriptors)?;
+        pipe.set_nonblocking(true).map_err(NoVote::descriptors)?;
         let opened = Store::open(&config.store, draw(), pipe);
         let (
             disk,
@@ -116,7 +134,11 @@
                 values,
                 entries,
             },
-        ) = opened.map_err(|e| (e.to_string(), e.advice()))?;
+        ) = opened.map_err(|e| NoVote {
+            what: e.to_string(),
+            advice: e.advice(),
+            again: matches!(e, StoreError::InUse),
+        })?;
         let mut durable = Durable {
             entries,
             ..Durable::default()
@@ -136,8 +158,12 @@
         let id = u64::from(config.node);
         let ids: Vec<u64> = config.voters.iter().map(|voter| voter.number).collect();
         let voter = Voter::new(id, &ids, now.0, &durable);
-        let voter = voter.map_err(|e| (e.to_string(), e.advice()))?;
-        let signal = net.signal(out.try_clone().map_err(pipe_failed)?.into(), peer);
+        let voter = voter.map_err(|e| NoVote {
+            what: e.to_string(),
+            advice: e.advice(),
+            again: false,
+        })?;
+        let signal = net.signal(out.try_clone().map_err(NoVote::descriptors)?.into(), peer);
         log::info!(
             "agreement: store {store:016x}, {}",
             if proven { "known to the voters" } else { "new" }
@@ -149,7 +175,7 @@
             store,
             disk,
             out,
-            pipe: signal.map_err(pipe_failed)?,
+            pipe: signal.map_err(NoVote::descriptors)?,
             writes: 0,
             purposes: VecDeque::new(),
             backlog: VecDeque::new(),
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -329,6 +329,13 @@
         SocketAddr::try_from(addr?).ok()
     }
 
+    /// A connection of which nothing that was sent is acknowledged for so long counts as broken.
+    pub fn give_up_after(&mut self, token: Token, span: Micros) {
+        if let Some(conn) = self.get(token) {
+            let _ = sockopt::set_tcp_user_timeout(&conn.fd, (span.0 / 1000) as u32);
+        }
+    }
+
     /// A connection may hold so many bytes each way from now on.
     pub fn widen(&mut self, token: Token, bytes: usize) {
         if let Some(conn) = self.get(token) {
--- a/store/src/disk.rs
+++ b/store/src/disk.rs
@@ -15,6 +15,9 @@
     /// The folder cannot be used.
     #[error("store: {0}")]
     Folder(String),
+    /// Another process has it.
+    #[error("store: another process uses it")]
+    InUse,
     /// The file makes no sense, or was written by another version.
     #[error("store: the file is damaged: {0}")]
     Damaged(String),
@@ -28,6 +31,7 @@
     pub fn advice(&self) -> &'static str {
         match self {
             StoreError::Folder(_) => "see that the folder under `store` is there, can be written and is used by one process",
+            StoreError::InUse => "end the other process, or give each node a `store` of its own",
             StoreError::Damaged(_) => "set the folder aside and keep it; replace this voter under a new number",
             StoreError::Disk(_) => "make room on the disk; the node goes on by itself once there is",
         }
@@ -192,9 +196,7 @@
     builder.set_cache_size(1024 * 1024);
     match builder.create(path) {
         Ok(file) => Ok(file),
-        Err(redb::DatabaseError::DatabaseAlreadyOpen) => {
-            Err(StoreError::Folder("another process uses it".to_owned()))
-        }
+        Err(redb::DatabaseError::DatabaseAlreadyOpen) => Err(StoreError::InUse),
         Err(e) => Err(reading(e)),
     }
 }
@@ -272,3 +274,22 @@
     }
     transaction.commit().map_err(disk)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against what the database's own checks cannot see: a value that is sound and stands in another's place.
+    #[test]
+    fn a_value_counts_under_its_own_name_only() {
+        let bytes = sealed(b"hard", b"vote");
+        assert_eq!(opened(b"hard", &bytes).expect("its own"), b"vote");
+        assert!(opened(b"snapshot", &bytes).is_err());
+        for at in 0..bytes.len() {
+            let mut flipped = bytes.clone();
+            flipped[at] ^= 1;
+            assert!(opened(b"hard", &flipped).is_err(), "byte {at}");
+        }
+        assert!(opened(b"hard", &bytes[..3]).is_err());
+    }
+}
--- a/store/tests/store.rs
+++ b/store/tests/store.rs
@@ -149,8 +149,5 @@
 fn two_processes_do_not_share_a_store() {
     let folder = Folder::new("shared");
     let (_first, _) = Disk::open(&folder.0, 1).expect("new");
-    assert!(matches!(
-        Disk::open(&folder.0, 2),
-        Err(StoreError::Folder(_))
-    ));
+    assert!(matches!(Disk::open(&folder.0, 2), Err(StoreError::InUse)));
 }
