Tell nodes how many seats are free, so that they ask again when there are some

A reading now carries the free seats of each pool, and the pause ends when there are more than before. The bench measured jobs with a licence before the node had a seat, and so none at all; it waits for the first now.

--- a/agreement/src/wire.rs
+++ b/agreement/src/wire.rs
@@ -78,6 +78,8 @@
     pub changed: Option<(u64, Outcome)>,
     /// The seats that the asker holds: pool, tenant, seats, how many are asked back.
     pub parts: Vec<(String, String, u32, u32)>,
+    /// The seats of each pool that nobody holds.
+    pub free: Vec<(String, u32)>,
     /// A later start of the asker is known: it must not act.
     pub stale: bool,
 }
--- a/agreement/tests/fleet.rs
+++ b/agreement/tests/fleet.rs
@@ -383,6 +383,7 @@
                     };
                     let (until, parts) = (node.reader.until(), answer.held());
                     node.desk.read(&Reading {
+                        free: answer.free.clone(),
                         until,
                         done: answer.moved,
                         parts,
@@ -674,6 +675,10 @@
         moved: last(Stream::Seats).map_or(0, |(number, _)| number),
         changed: last(Stream::Changes).map(|(number, outcome)| (number, outcome.clone())),
         parts: parts.collect(),
+        free: book
+            .pools()
+            .map(|(name, pool)| (name.to_owned(), book.seats().free(name, pool)))
+            .collect(),
         stale: book.is_stale(node, boot),
     }
 }
--- a/agreement/tests/model.rs
+++ b/agreement/tests/model.rs
@@ -127,6 +127,10 @@
             .into_iter()
             .map(part)
             .collect(),
+        free: book
+            .pools()
+            .map(|(name, pool)| (name.to_owned(), book.seats().free(name, pool)))
+            .collect(),
         stale: book.is_stale(node, boot),
     }
 }
@@ -148,6 +152,7 @@
         };
         let (until, parts) = (reader.until(), answer.held());
         self.desk.0.read(&Reading {
+            free: answer.free.clone(),
             until,
             done: answer.moved,
             parts,
--- a/lab/src/bin/fleet-bench.rs
+++ b/lab/src/bin/fleet-bench.rs
@@ -133,6 +133,19 @@
         "a voter, jobs without a licence",
         &path(&fleet, 1, "", "plain")?,
     );
+    // Its part is there once a few jobs have asked for it.
+    let until = Instant::now() + Duration::from_secs(10);
+    let served = |n: usize| {
+        let stream = TcpStream::connect(&fleet.nodes[0].consumers);
+        let job = stream.and_then(|mut s| job(&mut s, &format!("first-{n}"), "licence=codec"));
+        job.unwrap_or(false)
+    };
+    for n in 0.. {
+        if served(n) || Instant::now() > until {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
     show(
         "a voter, jobs with a licence",
         &path(&fleet, 1, "licence=codec", "seat")?,
--- a/node/src/agreement/apply.rs
+++ b/node/src/agreement/apply.rs
@@ -109,6 +109,7 @@
         if let Some(seating) = hub.core.seating.as_mut().filter(|_| fresh || due) {
             let (until, parts) = (reader.until(), hub.agreed.answer.held());
             seating.desk.read(&Reading {
+                free: hub.agreed.answer.free.clone(),
                 until,
                 done: hub.agreed.answer.moved,
                 parts,
--- a/node/src/agreement/voting.rs
+++ b/node/src/agreement/voting.rs
@@ -500,6 +500,10 @@
             moved: last(Stream::Seats).map_or(0, |(number, _)| number),
             changed: last(Stream::Changes).map(|(number, outcome)| (number, outcome.clone())),
             parts: parts.collect(),
+            free: book
+                .pools()
+                .map(|(name, pool)| (name.to_owned(), book.seats().free(name, pool)))
+                .collect(),
             stale: book.is_stale(node, boot),
         }
     }
--- a/node/tests/seats.rs
+++ b/node/tests/seats.rs
@@ -43,6 +43,7 @@
         recalled: 0,
     };
     seating.desk.read(&Reading {
+        free: Vec::new(),
         until: Micros(10_000_000),
         done: 0,
         parts: vec![part("av1", 1), part("aac", 2)],
--- a/seats/benches/grant.rs
+++ b/seats/benches/grant.rs
@@ -16,6 +16,7 @@
         recalled: 0,
     };
     desk.read(&Reading {
+        free: Vec::new(),
         until: Micros(u64::MAX),
         done: 0,
         parts: names.iter().map(part).collect(),
--- a/seats/src/desk.rs
+++ b/seats/src/desk.rs
@@ -62,6 +62,8 @@
     pub parts: Vec<Part>,
     /// The pools that there are, with the longest run of a call.
     pub pools: Vec<(String, Micros)>,
+    /// How many seats of each nobody holds.
+    pub free: Vec<(String, u32)>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -101,6 +103,8 @@
     name: String,
     there: bool,
     longest: Micros,
+    /// The seats that nobody held when the fleet was read last.
+    free: u32,
     /// By tenant, in the order of the settings.
     tenants: Vec<Own>,
 }
@@ -130,6 +134,7 @@
             name,
             there: false,
             longest: Micros(0),
+            free: 0,
             tenants: tenants.iter().map(|_| Own::default()).collect(),
         });
         Desk {
@@ -167,7 +172,14 @@
             pool.there = set.is_some();
             // A call that is out may run as long as it might when it began.
             pool.longest = set.map_or(pool.longest, |(_, longest)| pool.longest.max(*longest));
+            let free = reading.free.iter().find(|(name, _)| *name == pool.name);
+            let free = free.map_or(0, |(_, free)| *free);
+            let more = free > std::mem::replace(&mut pool.free, free);
             for (tenant, own) in self.tenants.iter().zip(&mut pool.tenants) {
+                if more {
+                    // There was nothing to be had; now there may be.
+                    (own.pause, own.again) = (Micros(0), Micros(0));
+                }
                 let part = |part: &&Part| part.pool == pool.name && part.tenant == *tenant;
                 let part = reading.parts.iter().find(part);
                 own.seats = part.map_or(0, |part| part.seats);
--- a/seats/src/ledger.rs
+++ b/seats/src/ledger.rs
@@ -273,6 +273,11 @@
         })
     }
 
+    /// The seats of a pool that nobody holds and that do not ebb.
+    pub fn free(&self, name: &str, pool: &Pool) -> u32 {
+        pool.seats.saturating_sub(self.taken(name))
+    }
+
     /// The seats of a pool that are held or ebb.
     pub fn taken(&self, pool: &str) -> u32 {
         self.pools.get(pool).map_or(0, Held::taken)
--- a/seats/tests/seats.rs
+++ b/seats/tests/seats.rs
@@ -58,6 +58,7 @@
         recalled: 0,
     };
     Reading {
+        free: Vec::new(),
         until: Micros(until),
         done,
         parts: vec![part("av1")],
