Bound what questions and records a voter holds, and make answers in one place

Records take 4 MiB at most, refused with the figure; a frame 16 MiB. - A leader took commands without end while no majority wrote them: 8 MiB, then they are lost and asked for again. - A voter whose disk takes nothing still took entries of others in: they are dropped, and sent again. - Any node could have proposed what only the leader is to: `Command::is_a_nodes` tells, for the carrier to ask. - The answer to a question was put together in three places; `Answer::of` is the one.

--- a/agreement/src/book.rs
+++ b/agreement/src/book.rs
@@ -9,6 +9,9 @@
 /// Records of one change, and bytes that it may take.
 const MOST_RECORDS: usize = 64;
 const MOST_BYTES: usize = 1024 * 1024;
+/// Bytes that all records may take together: a voter that is behind, and a node that has just started, are sent all of
+/// them in one frame.
+const MOST_OF_ALL: usize = 4 * 1024 * 1024;
 /// Entries of a list.
 const MOST_ENTRIES: usize = 10_000;
 /// The longest name of a record, in bytes.
@@ -108,7 +111,17 @@
 }
 
 impl Command {
-    fn stream(&self) -> Stream {
+    /// Whether a node may want this: the seats of others, and those that ebb, are the leader's to see to.
+    pub fn is_a_nodes(&self) -> bool {
+        match &self.what {
+            What::Change(change) => change.check().is_ok(),
+            What::Seats(Move::Want { .. } | Move::Return { .. }) => true,
+            What::Seats(Move::Reclaim { .. } | Move::Free { .. }) => false,
+        }
+    }
+
+    /// By which stream it is counted.
+    pub fn stream(&self) -> Stream {
         match self.what {
             What::Change(_) => Stream::Changes,
             What::Seats(_) => Stream::Seats,
@@ -194,7 +207,8 @@
 
     fn change(&mut self, change: &Change) -> Outcome {
         // All is checked before anything is written.
-        if let Err(refusal) = change.check().and_then(|()| self.expects(change)) {
+        let checked = change.check().and_then(|()| self.expects(change));
+        if let Err(refusal) = checked.and_then(|()| self.fits(change)) {
             return Outcome::Refused(refusal);
         }
         for (name, body) in &change.put {
@@ -228,6 +242,31 @@
         Ok(())
     }
 
+    /// Whether all records together stay within their bound.
+    fn fits(&self, change: &Change) -> Result<(), Refusal> {
+        let size =
+            |body: &Option<Body>| serde_json::to_vec(body).map_or(MOST_OF_ALL, |bytes| bytes.len());
+        let kept = self
+            .records
+            .iter()
+            .filter(|(name, _)| !change.put.contains_key(*name));
+        let kept: usize = kept
+            .map(|(name, record)| LONGEST_NAME + name.len() + size(&record.body))
+            .sum();
+        let put: usize = change
+            .put
+            .iter()
+            .map(|(name, body)| LONGEST_NAME + name.len() + size(body))
+            .sum();
+        match kept + put > MOST_OF_ALL && change.put.values().any(Option::is_some) {
+            true => Err(Refusal::Size(format!(
+                "makes all records take {} bytes; {MOST_OF_ALL} at most",
+                kept + put
+            ))),
+            false => Ok(()),
+        }
+    }
+
     /// The version of a record; 0 where there never was one.
     pub fn version(&self, name: &str) -> u64 {
         self.records.get(name).map_or(0, |record| record.version)
--- a/agreement/src/error.rs
+++ b/agreement/src/error.rs
@@ -56,7 +56,7 @@
             Refusal::Unnamed { .. } => "name the version of each record under `expect`; 0 for a new one",
             Refusal::Name { .. } => "records are settings/rates, workers/out, seats/NAME and sites/NAME, each with its own content",
             Refusal::Value { .. } => "correct the value of the key that is named, and send the whole change again",
-            Refusal::Size(_) => "put one to 64 records into a change, of less than 1 MiB in all",
+            Refusal::Size(_) => "put one to 64 records into a change, of less than 1 MiB; all records together take 4 MiB at most",
             Refusal::Stale { .. } => "send it again: the process that it was sent to has been replaced",
         }
     }
--- a/agreement/src/voter.rs
+++ b/agreement/src/voter.rs
@@ -16,6 +16,8 @@
 /// Bytes of entries in one message, and messages under way to a voter.
 const MOST_BYTES: u64 = 256 * 1024;
 const IN_FLIGHT: usize = 64;
+/// Bytes of commands that a leader takes before a majority has the ones before: more are lost, and asked for again.
+const MOST_UNCOMMITTED: u64 = 8 * 1024 * 1024;
 /// Ticks after which a read index that was not answered is asked for anew: its message may be lost.
 const PATIENCE: u64 = 2 * HEARTBEAT as u64;
 /// Entries after which the book is written whole and the log before it dropped, and how many of them are kept.
@@ -55,8 +57,8 @@
     pub saves: Vec<Save>,
     /// Messages for other voters.
     pub send: Vec<(u64, Vec<u8>)>,
-    /// Questions that may be answered from the book now.
-    pub confirmed: Vec<u64>,
+    /// All questions up to this one may be answered from the book now.
+    pub confirmed: Option<u64>,
     /// Commands that were carried out.
     pub applied: Vec<(Command, Outcome)>,
 }
@@ -74,11 +76,13 @@
     outstanding: VecDeque<u64>,
     /// A snapshot that was installed counts as applied once the save of this number is durable.
     installed: Option<u64>,
-    /// Questions that came since the last read index was asked for, the one that is out, and those that wait for the
-    /// book to come so far.
-    asks: Vec<u64>,
-    reading: Option<(Vec<u8>, Vec<u64>, u64)>,
-    waiting: Vec<(u64, Vec<u64>)>,
+    /// The last question; the read index that is out, with the last question before it and when it was asked for; and
+    /// the questions that wait for the book to come so far. They are counted and not kept: they may come for as long as
+    /// there is no majority.
+    asked: u64,
+    read: u64,
+    reading: Option<(Vec<u8>, u64, u64)>,
+    waiting: Vec<(u64, u64)>,
     serial: u64,
     boot: u64,
     ticks: u64,
@@ -151,6 +155,7 @@
             applied: applied.0,
             max_size_per_msg: MOST_BYTES,
             max_inflight_msgs: IN_FLIGHT,
+            max_uncommitted_size: MOST_UNCOMMITTED,
             check_quorum: true,
             pre_vote: true,
             ..Config::default()
@@ -167,7 +172,8 @@
             held: VecDeque::new(),
             outstanding: VecDeque::new(),
             installed: None,
-            asks: Vec::new(),
+            asked: 0,
+            read: 0,
             reading: None,
             waiting: Vec::new(),
             serial: 0,
@@ -207,21 +213,16 @@
         if !self.stalled {
             self.run(|raw| raw.tick());
         }
-        if self
-            .reading
-            .as_ref()
-            .is_some_and(|(.., since)| self.ticks - since > PATIENCE)
-        {
-            let (_, asks, _) = self.reading.take().unwrap_or_default();
-            self.asks.extend(asks);
-        }
-        if self.reading.is_none() && !self.asks.is_empty() {
+        // Its message, or the answer, may be lost.
+        self.reading
+            .take_if(|(.., since)| self.ticks - *since > PATIENCE);
+        if self.reading.is_none() && self.asked > self.read {
             self.serial += 1;
             // Its own at each voter and each start: an answer to another is none to this one.
             let mut context = self.id.to_be_bytes().to_vec();
             context.extend(self.boot.to_be_bytes());
             context.extend(self.serial.to_be_bytes());
-            self.reading = Some((context.clone(), std::mem::take(&mut self.asks), self.ticks));
+            self.reading = Some((context.clone(), self.asked, self.ticks));
             self.run(|raw| raw.read_index(context));
         }
     }
@@ -246,6 +247,10 @@
                 to: message.to,
             });
         }
+        if self.stalled {
+            // Nothing of it could be written: what is lost is sent again.
+            return Ok(());
+        }
         // The library ends the process on what these would make it do.
         let wrong = |what: &str| Err(AgreementError::Message(what.to_owned()));
         let last = self.raw.raft.raft_log.last_index();
@@ -283,9 +288,9 @@
         }
     }
 
-    /// Somebody wants a reading: the question comes back among the [confirmed](Work::confirmed) ones. It may be lost.
+    /// Somebody wants a reading: this number, greater than the last, comes back as [confirmed](Work::confirmed).
     pub fn ask(&mut self, question: u64) {
-        self.asks.push(question);
+        self.asked = self.asked.max(question);
     }
 
     /// Everything up to this ticket is durable.
@@ -322,10 +327,10 @@
             self.post(held, &mut work);
         }
         let applied = self.applied.0;
-        self.waiting.retain(|(index, asks)| {
+        self.waiting.retain(|(index, asked)| {
             let there = *index <= applied;
             if there {
-                work.confirmed.extend(asks);
+                work.confirmed = work.confirmed.max(Some(*asked));
             }
             !there
         });
@@ -389,8 +394,9 @@
             let own = self
                 .reading
                 .take_if(|(context, ..)| *context == state.request_ctx);
-            if let Some((_, asks, _)) = own {
-                self.waiting.push((state.index, asks));
+            if let Some((_, asked, _)) = own {
+                self.read = asked;
+                self.waiting.push((state.index, asked));
             }
         }
         let committed = ready.take_committed_entries();
--- a/agreement/src/wire.rs
+++ b/agreement/src/wire.rs
@@ -1,12 +1,15 @@
 //! What nodes say to each other: frames of a bounded length, which are looked at before anything in them is decoded.
 
-use crate::book::{Command, Outcome, Record};
+use crate::book::{Book, Command, Outcome, Record, Stream};
 use crate::error::AgreementError;
-use marbledeck_seats::Part;
+use marbledeck_seats::{Part, Pool};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
-/// The longest frame, in bytes, without its head.
-pub const LONGEST: usize = 4 * 1024 * 1024;
+/// The longest frame, in bytes, without its head: a snapshot of the book, whose records have a bound of their own.
+pub const LONGEST: usize = 16 * 1024 * 1024;
+/// The longest of a node that does not vote: a question with a change.
+pub const LONGEST_QUESTION: usize = 1024 * 1024 + 256 * 1024;
 /// Commands of one question.
 pub const MOST_COMMANDS: usize = 4;
 /// Length and kind.
@@ -85,6 +88,34 @@
 }
 
 impl Answer {
+    /// What a node of this start is told of a book, if it knows the records up to this revision.
+    pub fn of(book: &Book, node: u32, boot: u64, question: u64, known: u64) -> Self {
+        let last = |stream| book.last(node, boot, stream);
+        let pools: BTreeMap<&str, &Pool> = book.pools().collect();
+        let holds = book.seats().holds(node, boot).into_iter();
+        let parts = holds.map(|(name, tenant, seats)| {
+            let pool = pools.get(name.as_str());
+            let recalled = pool.map_or(0, |pool| book.seats().recalled(&name, pool, &tenant));
+            (name, tenant, seats, recalled)
+        });
+        let records = book.since(known);
+        let free = pools.iter();
+        Answer {
+            question,
+            revision: book.revision(),
+            records: records
+                .map(|(name, record)| (name.clone(), record.clone()))
+                .collect(),
+            moved: last(Stream::Seats).map_or(0, |(number, _)| number),
+            changed: last(Stream::Changes).map(|(number, outcome)| (number, outcome.clone())),
+            parts: parts.collect(),
+            free: free
+                .map(|(name, pool)| ((*name).to_owned(), book.seats().free(name, pool)))
+                .collect(),
+            stale: book.is_stale(node, boot),
+        }
+    }
+
     /// The seats that the asker holds.
     pub fn held(&self) -> Vec<Part> {
         let parts = self.parts.iter().cloned();
--- a/agreement/tests/fleet.rs
+++ b/agreement/tests/fleet.rs
@@ -4,8 +4,8 @@
 use marbledeck::Micros;
 use marbledeck_agreement::wire::{Answer, MOST_COMMANDS};
 use marbledeck_agreement::{
-    Acting, Body, Book, Change, Command, Durable, Outcome, Rates, Reader, Record, Save, Stream,
-    Terms, Voter, Warden, What,
+    Acting, Body, Book, Change, Command, Durable, Outcome, Rates, Reader, Record, Save, Terms,
+    Voter, Warden, What,
 };
 use marbledeck_seats::{Desk, Licence, Pool, Reading};
 use std::collections::{BTreeMap, BinaryHeap};
@@ -327,13 +327,12 @@
                 },
             );
         }
-        for question in work.confirmed {
-            let seat = &mut self.seats[v];
-            let Some((node, question, known, boot)) = seat.asks.remove(&question) else {
-                continue;
-            };
-            let book = seat.voter.as_ref().expect("it runs").book();
-            let answer = answer(book, node as u32, question, known, boot);
+        let seat = &mut self.seats[v];
+        let later = seat.asks.split_off(&(work.confirmed.unwrap_or(0) + 1));
+        for (node, question, known, boot) in std::mem::replace(&mut seat.asks, later).into_values()
+        {
+            let book = self.seats[v].voter.as_ref().expect("it runs").book();
+            let answer = Answer::of(book, node as u32, boot, question, known);
             self.send(id, 1000 + node as u64, Msg::Answer { node, boot, answer });
         }
     }
@@ -649,40 +648,6 @@
     }
 }
 
-fn answer(book: &Book, node: u32, question: u64, known: u64, boot: u64) -> Answer {
-    let last = |stream| book.last(node, boot, stream);
-    let pool = |name: &str| {
-        book.pools()
-            .find(|(known, _)| *known == name)
-            .map(|(_, pool)| pool.clone())
-    };
-    let parts = book
-        .seats()
-        .holds(node, boot)
-        .into_iter()
-        .map(|(name, tenant, seats)| {
-            let recalled =
-                pool(&name).map_or(0, |pool| book.seats().recalled(&name, &pool, &tenant));
-            (name, tenant, seats, recalled)
-        });
-    Answer {
-        question,
-        revision: book.revision(),
-        records: book
-            .since(known)
-            .map(|(name, record)| (name.clone(), record.clone()))
-            .collect(),
-        moved: last(Stream::Seats).map_or(0, |(number, _)| number),
-        changed: last(Stream::Changes).map(|(number, outcome)| (number, outcome.clone())),
-        parts: parts.collect(),
-        free: book
-            .pools()
-            .map(|(name, pool)| (name.to_owned(), book.seats().free(name, pool)))
-            .collect(),
-        stale: book.is_stale(node, boot),
-    }
-}
-
 fn pool(seats: u32) -> Option<Body> {
     Some(Body::Pool(Pool {
         seats,
--- a/agreement/tests/model.rs
+++ b/agreement/tests/model.rs
@@ -5,7 +5,7 @@
 use marbledeck::Micros;
 use marbledeck_agreement::wire::Answer;
 use marbledeck_agreement::{
-    Acting, Body, Book, Change, Command, Reader, Record, Stream, Terms, Warden, What,
+    Acting, Body, Book, Change, Command, Reader, Record, Terms, Warden, What,
 };
 use marbledeck_seats::{Desk, Licence, Move, Pool, Reading};
 use stateright::{Checker, Model, Property};
@@ -108,33 +108,6 @@
     held: bool,
 }
 
-fn answer(book: &Book, node: u32, boot: u64, question: u64, known: u64) -> Answer {
-    let part = |(pool, tenant, seats)| (pool, tenant, seats, 0);
-    Answer {
-        question,
-        revision: book.revision(),
-        records: book
-            .since(known)
-            .map(|(name, record)| (name.clone(), record.clone()))
-            .collect(),
-        moved: book
-            .last(node, boot, Stream::Seats)
-            .map_or(0, |(number, _)| number),
-        changed: None,
-        parts: book
-            .seats()
-            .holds(node, boot)
-            .into_iter()
-            .map(part)
-            .collect(),
-        free: book
-            .pools()
-            .map(|(name, pool)| (name.to_owned(), book.seats().free(name, pool)))
-            .collect(),
-        stale: book.is_stale(node, boot),
-    }
-}
-
 impl Node {
     fn read(&mut self, time: Micros, answer: &Answer) {
         let reader = &mut self.reader.0;
@@ -253,13 +226,13 @@
         // Both have a reading to begin with; the second node lacks a seat.
         for n in 0..2 {
             let (question, known) = state.nodes[n].reader.0.ask(before());
-            let answer = answer(&state.book.0, n as u32, 1, question, known);
+            let answer = Answer::of(&state.book.0, n as u32, 1, question, known);
             state.nodes[n].read(before(), &answer);
         }
         let _ = state.nodes[1].desk.0.look(before(), SEAT, 0);
         for n in 0..2 {
             let (question, known) = state.nodes[n].reader.0.ask(now(0));
-            let answer = answer(&state.book.0, n as u32, 1, question, known);
+            let answer = Answer::of(&state.book.0, n as u32, 1, question, known);
             state.nodes[n].read(now(0), &answer);
         }
         vec![state]
@@ -358,7 +331,7 @@
                 else {
                     return None;
                 };
-                let answer = answer(&state.book.0, node, boot, question, known);
+                let answer = Answer::of(&state.book.0, node, boot, question, known);
                 state.msgs.push(Msg::Answer {
                     node,
                     boot,
