Welcome voters only once noted, and mend what a second reading of the fleet's parts showed

The fleet of the lab ends all its processes now, and they hold nothing of the test's. - node.rs, `settle`: what became of jobs whose calls were held back for want of seats waited for the next event. - voting.rs: a node could fill the questions of all others, and propose what only the leader is to; one question a node now. - voting.rs: writes for a disk that is far behind had no bound: the voter takes nothing in until it has caught up. - sites.rs: each member of an array had a copy of its template without a bound in bytes (32 MiB now, then TRY_LATER); connections to other sites were neither bounded nor counted among the descriptors; the catalogs were checked twice for each submission. - apply.rs: a tenant that settings/rates does not name, or no more, had a part of the others' rates; it has the settings' now.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -1,6 +1,6 @@
 //! A fleet: several nodes of the program between the stand-ins, with cables between them that a test can cut.
 
-use crate::node::{binary, said};
+use crate::node::binary;
 use crate::{Cable, Directory, Worker};
 use std::fmt::Write as _;
 use std::fs;
@@ -9,7 +9,6 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -54,6 +53,8 @@
     pub number: usize,
     folder: PathBuf,
     child: Option<Child>,
+    /// Processes of it that were started before and not ended.
+    former: Vec<Child>,
     /// Where consumers, operators and submitters connect.
     pub consumers: String,
     pub operators: String,
@@ -93,6 +94,7 @@
             number,
             folder: folder.join(format!("n{number}")),
             child: None,
+            former: Vec::new(),
             consumers: String::new(),
             operators: String::new(),
             submitters: String::new(),
@@ -187,33 +189,54 @@
         for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
             command.env_remove(name);
         }
+        // It must hold nothing of the test's that outlives it.
+        command.stdin(Stdio::null()).stdout(Stdio::null());
         command.arg("--site").arg(&file).stderr(Stdio::piped());
-        let mut child = command.spawn().expect("the node starts");
+        let child = command.spawn().expect("the node starts");
+        // Entered before anything is waited for: whatever happens, it is ended with the fleet.
+        node.former.extend(node.child.replace(child));
+        let child = node.child.as_mut().expect("just entered");
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
-        let (sender, log) = channel();
         let kept = node.log.clone();
+        let before = kept.lock().expect("no panic holds it").len();
         std::thread::spawn(move || {
             let shown = std::env::var_os("MARBLEDECK_LAB_LOG").is_some();
             for line in stderr.lines().map_while(Result::ok) {
                 if shown {
                     eprintln!("n{number}: {line}");
                 }
-                kept.lock().expect("no panic holds it").push(line.clone());
-                let _ = sender.send(line);
+                kept.lock().expect("no panic holds it").push(line);
             }
         });
-        let said = |words: &str, log: &Receiver<String>| said(log, words);
+        // In whatever order it says them.
+        let log = node.log.clone();
+        let said = |words: &str| {
+            let until = Instant::now() + PATIENCE;
+            loop {
+                let lines = log.lock().expect("no panic holds it");
+                let line = lines[before..]
+                    .iter()
+                    .find_map(|line| line.split_once(words));
+                if let Some((_, rest)) = line {
+                    return rest.trim().to_owned();
+                }
+                assert!(
+                    Instant::now() < until,
+                    "node {number} does not say '{words}'"
+                );
+                drop(lines);
+                std::thread::sleep(Duration::from_millis(2));
+            }
+        };
         if self.options.submission {
-            node.submitters = said("takes submissions at ", &log);
+            node.submitters = said("takes submissions at ");
         }
-        node.operators = said("answers operators at ", &log);
+        node.operators = said("answers operators at ");
+        node.consumers = said("serves at ");
         let voter: Option<SocketAddr> = votes.then(|| {
-            said("takes connections at ", &log)
-                .parse()
-                .expect("an address")
+            let addr = said("takes connections at ");
+            addr.parse().expect("an address")
         });
-        node.consumers = said("serves at ", &log);
-        node.child = Some(child);
         for other in self.nodes.iter().filter(|_| votes) {
             other.cables[at].lead(voter);
         }
@@ -253,6 +276,32 @@
         }
     }
 
+    /// Waits until a line of a node's log holds this, then kills one of its processes: for what must happen while
+    /// another one starts. Tells whether it came to that.
+    pub fn kill_once_logged(
+        &self,
+        number: usize,
+        words: &'static str,
+        pid: u32,
+    ) -> std::thread::JoinHandle<bool> {
+        let log = self.nodes[number - 1].log.clone();
+        std::thread::spawn(move || {
+            let until = Instant::now() + PATIENCE / 3;
+            while Instant::now() < until {
+                let lines = log.lock().expect("no panic holds it");
+                if lines.iter().any(|line| line.contains(words)) {
+                    let killed = Command::new("kill")
+                        .args(["-KILL", &pid.to_string()])
+                        .status();
+                    return killed.is_ok_and(|status| status.success());
+                }
+                drop(lines);
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            false
+        })
+    }
+
     /// Whether a line of a node's log holds this.
     ///
     /// # Panics
@@ -316,7 +365,8 @@
 
     /// Kills a node.
     pub fn kill(&mut self, number: usize) {
-        if let Some(mut child) = self.nodes[number - 1].child.take() {
+        let node = &mut self.nodes[number - 1];
+        for mut child in node.child.take().into_iter().chain(node.former.drain(..)) {
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/lab/src/node.rs
+++ b/lab/src/node.rs
@@ -281,7 +281,7 @@
 }
 
 /// What the node says after these words.
-pub(crate) fn said(log: &Receiver<String>, words: &str) -> String {
+fn said(log: &Receiver<String>, words: &str) -> String {
     let until = Instant::now() + PATIENCE;
     let mut seen = String::new();
     while let Ok(line) = log.recv_timeout(until.saturating_duration_since(Instant::now())) {
--- a/node/src/agreement/apply.rs
+++ b/node/src/agreement/apply.rs
@@ -16,6 +16,8 @@
     next: Option<Micros>,
     source: Option<SourceId>,
     out: BTreeSet<String>,
+    /// The tenants' rates as the platform's settings have them, and as they were set last.
+    usual: Option<Vec<Option<f64>>>,
     rates: Option<Vec<Option<f64>>>,
 }
 
@@ -117,10 +119,13 @@
             });
         }
         if let Some(rates) = rates {
-            let names = hub.core.catalogue().tenants();
-            let quotas: Vec<Option<f64>> =
-                names.iter().map(|name| rates.get(name).copied()).collect();
-            if !rates.is_empty() && self.rates.as_ref() != Some(&quotas) {
+            let usual = self.usual.get_or_insert_with(|| hub.core.rates());
+            let names = hub.core.catalogue().tenants().iter().zip(&*usual);
+            // Whom the record does not name, or no more, has what the settings give.
+            let quotas: Vec<Option<f64>> = names
+                .map(|(name, usual)| rates.get(name).copied().or(*usual))
+                .collect();
+            if self.rates.as_ref().unwrap_or(usual) != &quotas {
                 hub.core.set_rates(now, &quotas);
                 self.rates = Some(quotas);
             }
--- a/node/src/agreement/mod.rs
+++ b/node/src/agreement/mod.rs
@@ -17,8 +17,10 @@
 use std::io;
 use voting::{Asker, NoVote, Voting};
 
-/// What a connection may hold each way: a frame, and the beginning of the next.
+/// What a connection between voters may hold each way, or from a voter: a frame, and the beginning of the next; and one
+/// that a node has made.
 const HELD: usize = wire::LONGEST + 64 * 1024;
+const HELD_OF_NODE: usize = wire::LONGEST_QUESTION + 64 * 1024;
 /// Connections taken in one turn, and frames of one connection handled in one turn.
 const ACCEPTS: usize = 16;
 const FRAMES: usize = 64;
@@ -42,8 +44,6 @@
 /// A connection to a voter.
 struct Host {
     voter: u64,
-    /// The voter has taken this one for a voter.
-    welcome: bool,
 }
 
 /// The question that is out.
@@ -128,7 +128,13 @@
         };
         self.opening = None;
         match Voting::open(&self.config, now, self.peer, net) {
-            Ok(voting) => self.voting = Some(voting),
+            Ok(voting) => {
+                self.voting = Some(voting);
+                // Those that it is connected to took it for one that does not vote.
+                for token in self.hosts.keys().copied().collect::<Vec<_>>() {
+                    self.let_go(now, token, net);
+                }
+            }
             Err(NoVote {
                 again: true, what, ..
             }) => {
@@ -235,13 +241,7 @@
         net.widen(token, HELD);
         // What a machine that has vanished never acknowledges: the connection ends, and another is tried.
         net.give_up_after(token, self.config.terms.lease);
-        self.hosts.insert(
-            token,
-            Host {
-                voter,
-                welcome: false,
-            },
-        );
+        self.hosts.insert(token, Host { voter });
         let own = self
             .voting
             .as_ref()
@@ -288,14 +288,13 @@
 
     /// Handles a frame; tells false where the connection is to end.
     fn take(&mut self, now: Micros, token: Token, frame: Frame, hub: &mut Hub) -> bool {
-        if let Some(host) = self.hosts.get_mut(&token) {
+        if let Some(host) = self.hosts.get(&token) {
             let of = host.voter;
             return match frame {
                 Frame::Said(said) => match *said {
                     Said::Welcome { voter } if voter == of => {
-                        host.welcome = true;
                         if let Some(voting) = &mut self.voting {
-                            voting.welcomed(now, voter);
+                            voting.welcomed(voter);
                         }
                         true
                     }
@@ -331,7 +330,8 @@
                         return false;
                     }
                     guest.node = Some(node);
-                    hub.net.widen(token, HELD);
+                    let held = if voter.is_some() { HELD } else { HELD_OF_NODE };
+                    hub.net.widen(token, held);
                     // An earlier connection of the same node is one that it has given up: it may never end by itself.
                     let earlier = |(t, g): &(&Token, &Guest)| **t != token && g.node == Some(node);
                     let earlier = self.guests.iter().filter(earlier).map(|(t, _)| *t);
--- a/node/src/agreement/voting.rs
+++ b/node/src/agreement/voting.rs
@@ -5,16 +5,14 @@
 use crate::net::{Net, Peer, Token};
 use marbledeck::Micros;
 use marbledeck_agreement::wire::{Answer, Frame, Said};
-use marbledeck_agreement::{AgreementError, Command, Durable, Save, Stream, Terms, Voter, Warden};
+use marbledeck_agreement::{AgreementError, Command, Durable, Save, Terms, Voter, Warden};
 use marbledeck_store::{Done, Loaded, Store, StoreError, Write};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::Read;
 use std::os::unix::net::UnixStream;
 
 /// How often the voters tell each other whom they have heard.
 const HEARD: Micros = millis(500);
-/// Questions that may wait.
-const MOST_ASKS: usize = 4096;
 /// The names of what is stored besides the log.
 const HARD: &str = "hard";
 const SNAPSHOT: &str = "snapshot";
@@ -35,7 +33,7 @@
 enum Purpose {
     Voter(u64),
     /// The number of another voter's store.
-    Note(Token, u64),
+    Note(u64),
     Proven,
 }
 
@@ -68,10 +66,14 @@
     proven: bool,
     welcomes: BTreeSet<u64>,
     denied: bool,
-    /// The numbers of the other voters' stores.
+    /// The numbers of the other voters' stores, those that are durably noted and those that are about to be: nobody is
+    /// welcomed before.
     stores: BTreeMap<u64, u64>,
+    noting: BTreeMap<u64, u64>,
     hellos: Vec<(Token, u64, u64)>,
-    asks: HashMap<u64, Asker>,
+    /// The last question of each node, by its own number and by the node.
+    asks: BTreeMap<u64, Asker>,
+    last_ask: BTreeMap<u32, u64>,
     next: u64,
     heard: BTreeMap<u32, u64>,
     next_heard: Micros,
@@ -185,8 +187,10 @@
             welcomes: BTreeSet::new(),
             denied: false,
             stores,
+            noting: BTreeMap::new(),
             hellos: Vec::new(),
-            asks: HashMap::new(),
+            asks: BTreeMap::new(),
+            last_ask: BTreeMap::new(),
             next: 0,
             heard: BTreeMap::new(),
             next_heard: now,
@@ -244,7 +248,7 @@
         }
     }
 
-    pub fn welcomed(&mut self, _now: Micros, voter: u64) {
+    pub fn welcomed(&mut self, voter: u64) {
         self.welcomes.insert(voter);
         if !self.proven && !self.denied && self.welcomes.len() == self.others.len() {
             self.write(
@@ -285,25 +289,27 @@
 
     /// Somebody asks for a reading, and wants these commands carried out.
     pub fn ask(&mut self, asker: Asker, commands: impl Iterator<Item = Command>) {
-        if !self.takes_part() || self.asks.len() >= MOST_ASKS {
+        if !self.takes_part() {
             return;
         }
         self.heard.insert(asker.node, asker.boot);
         // What this one knows to be done already need not be done again.
-        for command in
-            commands.filter(|command| command.node == asker.node && command.boot == asker.boot)
-        {
-            let stream = match command.what {
-                marbledeck_agreement::What::Change(_) => Stream::Changes,
-                marbledeck_agreement::What::Seats(_) => Stream::Seats,
-            };
-            let last = self.voter.book().last(command.node, command.boot, stream);
+        let own = |c: &Command| c.node == asker.node && c.boot == asker.boot && c.is_a_nodes();
+        for command in commands.filter(own) {
+            let last = self
+                .voter
+                .book()
+                .last(command.node, command.boot, command.stream());
             if command.number > 0 && last.is_none_or(|(last, _)| last < command.number) {
                 self.voter.propose(&command);
             }
         }
         self.next += 1;
         self.voter.ask(self.next);
+        // A node waits for its last question only.
+        if let Some(before) = self.last_ask.insert(asker.node, self.next) {
+            self.asks.remove(&before);
+        }
         self.asks.insert(self.next, asker);
     }
 
@@ -363,6 +369,8 @@
         write.ticket = self.writes;
         self.purposes.push_back((self.writes, purpose));
         if !self.backlog.is_empty() || !self.disk.write(write.clone()) {
+            // The disk is far behind: nothing more is taken in before it has caught up.
+            self.voter.stall();
             self.backlog.push_back(write);
         }
     }
@@ -399,12 +407,10 @@
     fn written(&mut self, now: Micros, purpose: Purpose) {
         match purpose {
             Purpose::Voter(ticket) => self.voter.saved(ticket),
-            // Said again by the other, and answered then.
-            Purpose::Note(token, voter) => {
-                if let Some(store) = self.stores.get(&voter) {
-                    self.hellos.push((token, voter, *store));
-                }
-            }
+            // Those that have said hello are answered now.
+            Purpose::Note(voter) => self
+                .stores
+                .extend(self.noting.remove(&voter).map(|store| (voter, store))),
             Purpose::Proven => {
                 log::info!("agreement: all voters know this store; it votes");
                 self.proven = true;
@@ -417,23 +423,27 @@
     pub fn work(&mut self, now: Micros) -> Out {
         let mut out = Out::default();
         for (token, voter, store) in std::mem::take(&mut self.hellos) {
-            match self.stores.get(&voter) {
-                Some(known) => out.noted.push((token, voter, *known == store)),
-                None => {
-                    let value = (
-                        format!("{KNOWN}{voter}"),
-                        Some(store.to_be_bytes().to_vec()),
-                    );
-                    self.write(
-                        Purpose::Note(token, voter),
-                        Write {
-                            values: vec![value],
-                            ..Write::default()
-                        },
-                    );
-                    self.stores.insert(voter, store);
-                }
+            if let Some(known) = self.stores.get(&voter) {
+                out.noted.push((token, voter, *known == store));
+                continue;
+            }
+            if !self.noting.contains_key(&voter) {
+                let value = (
+                    format!("{KNOWN}{voter}"),
+                    Some(store.to_be_bytes().to_vec()),
+                );
+                self.write(
+                    Purpose::Note(voter),
+                    Write {
+                        values: vec![value],
+                        ..Write::default()
+                    },
+                );
+                self.noting.insert(voter, store);
             }
+            // The last connection of a voter is the one that counts.
+            self.hellos.retain(|(_, other, _)| *other != voter);
+            self.hellos.push((token, voter, store));
         }
         if !self.takes_part() {
             self.asks.clear();
@@ -449,10 +459,17 @@
                 .into_iter()
                 .map(|(to, bytes)| (to, Frame::Raft(bytes))),
         );
-        for question in work.confirmed {
-            if let Some(asker) = self.asks.remove(&question) {
-                out.answers.push((asker.of, self.answer(&asker)));
-            }
+        let later = self.asks.split_off(&(work.confirmed.unwrap_or(0) + 1));
+        for asker in std::mem::replace(&mut self.asks, later).into_values() {
+            let Asker {
+                of,
+                node,
+                question,
+                known,
+                boot,
+            } = asker;
+            let answer = Answer::of(self.voter.book(), node, boot, question, known);
+            out.answers.push((of, answer));
         }
         if now >= self.next_heard {
             self.next_heard = now + HEARD;
@@ -476,37 +493,6 @@
         }
         out
     }
-
-    fn answer(&self, asker: &Asker) -> Answer {
-        let (book, node, boot) = (self.voter.book(), asker.node, asker.boot);
-        let last = |stream| book.last(node, boot, stream);
-        let parts = book
-            .seats()
-            .holds(node, boot)
-            .into_iter()
-            .map(|(name, tenant, seats)| {
-                let pool = book.pools().find(|(known, _)| *known == name);
-                let recalled =
-                    pool.map_or(0, |(_, pool)| book.seats().recalled(&name, pool, &tenant));
-                (name, tenant, seats, recalled)
-            });
-        Answer {
-            question: asker.question,
-            revision: book.revision(),
-            records: book
-                .since(asker.known)
-                .map(|(name, record)| (name.clone(), record.clone()))
-                .collect(),
-            moved: last(Stream::Seats).map_or(0, |(number, _)| number),
-            changed: last(Stream::Changes).map(|(number, outcome)| (number, outcome.clone())),
-            parts: parts.collect(),
-            free: book
-                .pools()
-                .map(|(name, pool)| (name.to_owned(), book.seats().free(name, pool)))
-                .collect(),
-            stale: book.is_stale(node, boot),
-        }
-    }
 }
 
 /// What is to be durable, as the store has it.
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -161,6 +161,11 @@
         self.dispatcher.set_quotas(now, quotas);
     }
 
+    /// The same, as it is now.
+    pub fn rates(&self) -> Vec<Option<f64>> {
+        self.dispatcher.quotas()
+    }
+
     /// The final answer of something that another site was asked to do, for the front that handed it over.
     pub fn answer_for(&mut self, id: RequestId, verdict: Verdict) {
         self.commands.push_back(Command::Answer {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -14,7 +14,7 @@
 use crate::ops::{self, Call, Ops};
 use crate::party::{Agreed, Hub, Party};
 use crate::peers::Tier;
-use crate::sites::{Outbox, Sites};
+use crate::sites::{Outbox, Sites, MOST_LINKS};
 use crate::submission::Submissions;
 use crate::workers::{Figures, Workers};
 use marbledeck::Micros;
@@ -142,7 +142,8 @@
         let mut net = Net::new()?;
         let submission = site.submission;
         let spared = submission.as_ref().map_or(0, |front| front.max_submitters)
-            + site.agreement.as_ref().map_or(0, |part| part.descriptors());
+            + site.agreement.as_ref().map_or(0, |part| part.descriptors())
+            + site.site.as_ref().map_or(0, |_| MOST_LINKS);
         let limits = Limits::of(&config, spared);
         let core = Core::new(config.settings, config.catalogue, config.seed, now);
         let mut core = core.map_err(io::Error::other)?;
@@ -680,10 +681,14 @@
         } = &mut self.hub;
         // The time is read anew, just before calls leave: this process may have stood still.
         if let Some(until) = core.seated_until() {
-            if until <= self.clock.now() {
-                workers.unseat(now, net, core);
+            if until <= self.clock.now() && workers.unseat(now, net, core) {
+                // What becomes of their jobs is not left to the next turn.
+                self.carry_out(now);
             }
         }
+        let Hub {
+            net, core, workers, ..
+        } = &mut self.hub;
         net.settle(now);
         workers.written(net, core);
     }
--- a/node/src/sites.rs
+++ b/node/src/sites.rs
@@ -27,8 +27,11 @@
 const BACKLOG: usize = 256 * 1024;
 /// Jobs looked at in one turn.
 const TURN: usize = 64;
-/// Jobs that other sites may have at a time.
+/// Jobs that other sites may have at a time, and bytes of their templates: each member of an array has one of its own here.
 const MOST: usize = 16 * 1024;
+const MOST_BYTES: usize = 32 * 1024 * 1024;
+/// Connections to other sites: one for each that is asked, as long as there are no more of them.
+pub const MOST_LINKS: usize = 16;
 /// The ids of these jobs: none of the core's is as great.
 const FIRST: u64 = 1 << 63;
 
@@ -88,6 +91,8 @@
     pub own: String,
     jobs: BTreeMap<RequestId, Job>,
     due: BTreeSet<(Micros, RequestId)>,
+    /// Bytes of their templates.
+    bytes: usize,
     next: u64,
 }
 
@@ -149,7 +154,8 @@
             .map(|site| (site.name, check(manifest, Some(site.catalog))))
             .collect();
         if others.iter().any(|(_, fit)| *fit == Fit::Fits) {
-            return match self.jobs.len() < MOST {
+            let room = self.jobs.len() < MOST && self.bytes + template.size() <= MOST_BYTES;
+            return match room {
                 true => Ok(Where::Elsewhere),
                 false => Err(Problem::later("too many jobs are at other sites", 1000)),
             };
@@ -197,6 +203,7 @@
             ..order.template.clone()
         };
         template.set_input(order.body.clone());
+        self.bytes += template.size();
         let job = Job {
             errand: Errand::default(),
             template,
@@ -228,6 +235,7 @@
     fn remove(&mut self, id: RequestId) -> Option<Job> {
         let job = self.jobs.remove(&id)?;
         self.due.remove(&(job.due, id));
+        self.bytes -= job.template.size();
         Some(job)
     }
 
@@ -294,6 +302,13 @@
         if self.again.get(&addr).is_some_and(|at| now < *at) {
             return None;
         }
+        if self.links.len() >= MOST_LINKS {
+            let idle = self.links.iter().find(|(_, link)| link.open.is_empty());
+            let token = idle.map(|(token, _)| *token)?;
+            net.close(token);
+            self.links.remove(&token);
+        }
+        self.again.retain(|_, at| now < *at);
         self.again.insert(addr, now + AGAIN);
         let token = net.connect(addr, self.peer).ok()?;
         net.widen(token, MAX_LINE + 4096);
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -395,8 +395,9 @@
         self.wants_signs = wants;
     }
 
-    /// The time is over in which calls that need seats might begin: those of which no byte has left are not made.
-    pub fn unseat(&mut self, now: Micros, net: &mut Net, core: &mut Core) {
+    /// The time is over in which calls that need seats might begin: those of which no byte has left are not made. Tells
+    /// whether there were any.
+    pub fn unseat(&mut self, now: Micros, net: &mut Net, core: &mut Core) -> bool {
         let mut late = Vec::new();
         for token in &self.writing {
             let (Some(link), Some(conn)) = (self.links.get(token), net.get(*token)) else {
@@ -409,9 +410,10 @@
                 }
             }
         }
-        for token in late {
-            self.broke(now, token, Outcome::ConnectFailed, net, core);
+        for token in &late {
+            self.broke(now, *token, Outcome::ConnectFailed, net, core);
         }
+        !late.is_empty()
     }
 
     /// Closes all idle connections, and keeps none for a while.
--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -282,6 +282,25 @@
     fleet.until(2, "the pool", sees("seats/codec", 2));
 }
 
+/// Another process of a voter is started while the first still has the store: it waits, and votes once the first is gone.
+#[test]
+fn a_voter_that_is_replaced_goes_on_with_its_store() {
+    let mut fleet = Fleet::start(FleetOptions::default());
+    agree(&fleet, &[4], "seats/codec", 0, POOL);
+    let old = fleet.pid(2).expect("it runs");
+    let ender = fleet.kill_once_logged(2, "tried again until it can be had", old);
+    // Comes back once the second takes connections as a voter.
+    fleet.spawn(2);
+    assert!(ender.join().expect("it ends"), "the first was not ended");
+    fleet.until(2, "its vote", |text| {
+        text.contains(" follows ") || text.contains(" leads")
+    });
+    // With one of the others gone, its vote is needed, by the one that it had asked for readings before it could vote.
+    fleet.kill(1);
+    agree(&fleet, &[4, 5], "seats/codec", 1, POOL);
+    fleet.until(2, "the pool", sees("seats/codec", 2));
+}
+
 /// A torn file: the voter stays out and says what to do, the node serves, and the others go on.
 #[test]
 fn a_voter_with_a_torn_file_stays_out() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -255,6 +255,11 @@
         }
     }
 
+    /// How many jobs a second each tenant may ask for, over all dispatchers.
+    pub fn quotas(&self) -> Vec<Option<f64>> {
+        self.settings.tenants.iter().map(|t| t.quota).collect()
+    }
+
     /// From now on the tenants may ask for so many jobs a second, over all dispatchers: none where no figure is told.
     /// What a bucket holds stays, within its new burst.
     pub fn set_quotas(&mut self, now: Micros, quotas: &[Option<f64>]) {
--- a/submission/src/server.rs
+++ b/submission/src/server.rs
@@ -615,7 +615,9 @@
             return Err(Problem::invalid("no such job"));
         };
         let txn = self.ids.word(key).to_string();
-        order(now, &job.template, job.index, txn, desk)
+        // Sites may have changed since it was handed in.
+        let place = desk.place(&job.template)?;
+        order(now, &job.template, job.index, txn, place, desk)
     }
 
     /// No member of an array is handed on for a while.
@@ -876,7 +878,8 @@
         self.jobs.room(now, size)?;
         let keyed = template.submission_key.is_some();
         let tenant = template.accounting_id.as_deref();
-        if desk.place(template)? == Whereabouts::Here {
+        let place = desk.place(template)?;
+        if place == Whereabouts::Here {
             desk.check(template.class(), tenant, keyed)?;
         }
         let facts = desk.class(template.class()).unwrap_or_default();
@@ -925,7 +928,7 @@
             return Ok((key, false));
         }
         let txn = self.ids.word(key).to_string();
-        match order(now, template, index, txn, desk) {
+        match order(now, template, index, txn, place, desk) {
             Ok((invocation, deadline)) => {
                 (job.place, job.deadline) = (Place::Handed(invocation), deadline);
                 self.jobs.enter(job);
@@ -1871,13 +1874,13 @@
     template: &Template,
     index: Option<i64>,
     txn: String,
+    place: Whereabouts,
     desk: &mut dyn Desk,
 ) -> Result<(RequestId, Micros), Problem> {
     let facts = desk.class(template.class()).unwrap_or_default();
     let asked = template
         .deadline_ms
         .map(|ms| Micros(1000 * ms.min(LONGEST_MS)));
-    let place = desk.place(template)?;
     let run = template
         .manifest
         .as_ref()
