Take back calls that have not begun when their worker leaves, at the first byte

Seen: with a connection that is not up yet, a call decided before a drain, a removal, or the list's distrust left for the worker when the connection came up, up to connect-timeout later: Workers::hold_back was called for set-down only (node.rs, mark_out).

Right before it, where anything is about to begin, the node reads the time and the directory's connection once more, and takes back each call of which no byte has left and whose worker is no longer as it was when the call was decided (state, start, cell, address), whose seats' time is over, or whose invocation is over. One mechanism in place of hold_back and unseat. What is taken back ends as moot: never run, and nothing is held against its worker.

--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -214,6 +214,12 @@
         self.shown.get(self.by_worker.get(&worker)?)?.place.as_ref()
     }
 
+    /// What the decision module was told of a worker last.
+    pub fn told_of(&self, worker: WorkerId) -> Option<&Entry> {
+        let shown = self.shown.get(self.by_worker.get(&worker)?)?;
+        Some(&shown.entry)
+    }
+
     /// Whether a worker of this id is named by a source, or out by hand.
     pub fn knows(&self, id: &str) -> bool {
         self.out.contains(id) || self.sources.iter().any(|s| s.heard.contains_key(id))
--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -264,6 +264,11 @@
         self.ready_workers
     }
 
+    /// Whether an invocation has had its answer, or its consumer has left.
+    pub fn is_over(&self, id: RequestId) -> bool {
+        self.table.is_over(id)
+    }
+
     /// Whether no invocation waits for its final answer.
     pub fn idle(&self) -> bool {
         self.unanswered() == 0
--- a/node/src/core/table.rs
+++ b/node/src/core/table.rs
@@ -99,6 +99,11 @@
         true
     }
 
+    /// Whether an invocation has had its answer, or needs none.
+    pub fn is_over(&self, id: RequestId) -> bool {
+        self.map.get(&id).is_none_or(|i| i.answered)
+    }
+
     /// Drops an invocation that is answered and has no call out.
     pub fn forget(&mut self, id: RequestId) {
         let over = |i: &Invocation| i.answered && i.calls.iter().all(|c| !c.out);
--- a/node/src/directory/mod.rs
+++ b/node/src/directory/mod.rs
@@ -191,6 +191,11 @@
         fleet.pass_on(now, ListKind::Cached, told, core);
     }
 
+    /// The connection on which an answer may come.
+    pub fn awaited(&self) -> Option<Token> {
+        self.call.as_ref().map(|call| call.token)
+    }
+
     /// When [`Directory::wake`] is next wanted.
     pub fn next_wake(&self) -> Option<Micros> {
         let trusted = self.clocks.trusted_until().filter(|_| !self.distrusted);
--- a/node/src/fleet.rs
+++ b/node/src/fleet.rs
@@ -4,8 +4,16 @@
 use crate::core::Core;
 use crate::net::Net;
 use crate::workers::Workers;
-use marbledeck::{ListKind, Micros, WorkerId};
+use marbledeck::{Entry, ListKind, Micros, State, WorkerId};
 use marbledeck_membership::{Membership, Place, Told};
+use std::net::SocketAddr;
+
+/// What a call was decided by: the worker's entry, and its address.
+#[derive(Clone, Debug)]
+pub struct Aim {
+    pub entry: Entry,
+    pub addr: SocketAddr,
+}
 
 pub struct Fleet {
     pub members: Membership,
@@ -35,6 +43,22 @@
         }
     }
 
+    /// Whether a worker is as it was when a call there was decided, and takes new ones.
+    pub fn stands(&self, call: &Aim) -> bool {
+        let entry = self.members.told_of(call.entry.worker);
+        entry == Some(&call.entry) && call.entry.state == State::Ready && {
+            let place = self.place(call.entry.worker);
+            place.is_some_and(|place| place.addr == call.addr)
+        }
+    }
+
+    /// A worker as it is now, for a call that goes there.
+    pub fn aim(&self, worker: WorkerId) -> Option<(Aim, &Place)> {
+        let (entry, place) = (self.members.told_of(worker)?.clone(), self.place(worker)?);
+        let addr = place.addr;
+        Some((Aim { entry, addr }, place))
+    }
+
     pub fn place(&self, worker: WorkerId) -> Option<&Place> {
         self.members.place(worker)
     }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -11,7 +11,7 @@
 mod fleet;
 mod handover;
 pub mod logger;
-mod net;
+pub mod net;
 pub mod node;
 mod ops;
 mod party;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -345,11 +345,8 @@
             fleet,
             ..
         } = &mut self.hub;
-        // First: by a list that is too old nothing is sent, whatever else is due, nor without seats.
+        // First: by a list that is too old nothing is sent, whatever else is due.
         directory.wake(now, fleet, net, core);
-        if core.seated_until().is_some_and(|until| until <= now) {
-            workers.unseat(now, net, core);
-        }
         core.wake(now);
         workers.wake(now, net, core);
         fleet.wake(now, workers, net, core);
@@ -491,17 +488,8 @@
     fn mark_out(&mut self, now: Micros, id: &str, out: bool) {
         let word = if out { "out" } else { "may serve" };
         log::info!("operators: {id} {word}");
-        let Hub {
-            net,
-            core,
-            workers,
-            fleet,
-            ..
-        } = &mut self.hub;
+        let Hub { core, fleet, .. } = &mut self.hub;
         fleet.set_out(now, id, out, core);
-        if out {
-            workers.hold_back(now, worker_id(id), net, core);
-        }
     }
 
     /// Another process of this node has come, has said something, or is gone.
@@ -676,15 +664,8 @@
     /// Carries out what the core wants done, writes it out and waits anew.
     fn settle(&mut self, now: Micros) {
         self.carry_out(now);
-        let Hub {
-            net, core, workers, ..
-        } = &mut self.hub;
-        // The time is read anew, just before calls leave: this process may have stood still.
-        if let Some(until) = core.seated_until() {
-            if until <= self.clock.now() && workers.unseat(now, net, core) {
-                // What becomes of their jobs is not left to the next turn.
-                self.carry_out(now);
-            }
+        if self.hub.workers.is_about_to_send() {
+            self.look_again();
         }
         let Hub {
             net, core, workers, ..
@@ -693,6 +674,34 @@
         workers.written(net, core);
     }
 
+    /// The last look before calls begin. This process may have stood still, or been busy for long with what had come
+    /// before: what forbids a call counts though it came after the call was decided. All bytes leave right after this.
+    fn look_again(&mut self) {
+        let now = self.clock.now();
+        self.hub.now = now;
+        let Hub {
+            net,
+            core,
+            directory,
+            fleet,
+            ..
+        } = &mut self.hub;
+        directory.wake(now, fleet, net, core);
+        if let Some(ready) = directory.awaited().and_then(|token| net.look(token)) {
+            directory.ready(now, ready.token, fleet, net, core);
+        }
+        let Hub {
+            net,
+            core,
+            workers,
+            fleet,
+            ..
+        } = &mut self.hub;
+        workers.withdraw(now, fleet, net, core);
+        // What becomes of their jobs is not left to the next turn.
+        self.carry_out(now);
+    }
+
     fn carry_out(&mut self, now: Micros) {
         // First, so that the other process knows of a job that is handed on before any worker does.
         self.tell_partners(now);
@@ -746,8 +755,8 @@
                 Command::Call(call) => {
                     let parties = self.parties.iter_mut();
                     parties.for_each(|party| party.called(now, call.worker));
-                    let place = fleet.place(call.worker);
-                    workers.call(now, &call, place, net, core);
+                    let aim = fleet.aim(call.worker);
+                    workers.call(now, &call, aim, net, core);
                 }
                 Command::GiveUp { id, attempt } => workers.give_up(id, attempt, net),
                 Command::Probe(worker) => {
@@ -761,8 +770,8 @@
                         fleet,
                         ..
                     } = &mut self.hub;
-                    let place = fleet.place(worker);
-                    workers.probe(now, worker, place, net, core);
+                    let aim = fleet.aim(worker);
+                    workers.probe(now, worker, aim, net, core);
                 }
                 Command::CameBack(worker) => {
                     let parties = self.parties.iter_mut();
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::millis;
 use crate::core::{Core, InvokerCall};
+use crate::fleet::{Aim, Fleet};
 use crate::net::conn::Connection;
 use crate::net::{Net, Peer, Token};
 use marbledeck::{Micros, Outcome, Report, RequestId, WorkerId};
@@ -57,6 +58,8 @@
 struct Link {
     worker: WorkerId,
     errand: Errand,
+    /// What its call or probe was decided by.
+    aim: Option<Aim>,
     speech: Option<Speech>,
     /// When its request was handed over.
     sent: Micros,
@@ -77,6 +80,7 @@
         Link {
             worker,
             errand,
+            aim: None,
             speech: Some(speech),
             sent,
             untried: false,
@@ -86,9 +90,12 @@
             due: None,
         }
     }
-}
 
-impl Link {
+    /// Whether no byte of its request has left.
+    fn is_unsent(&self, conn: &Connection) -> bool {
+        conn.is_connecting() || conn.output.len() >= self.size
+    }
+
     /// Counts a call once its last byte has left. Guards against counting one that was given up, or whose connection
     /// never came up: no worker has it.
     fn note_written(&mut self, conn: &Connection, core: &mut Core) {
@@ -118,7 +125,7 @@
     figures: Figures,
     links: HashMap<Token, Link>,
     calls: HashMap<(RequestId, u32), Token>,
-    /// Calls of which something may still be to be written.
+    /// Calls and probes of which something may still be to be written.
     writing: Vec<Token>,
     /// Idle connections, the last used at the end.
     idle: HashMap<WorkerId, Vec<Token>>,
@@ -171,7 +178,7 @@
             return;
         }
         let sign = match (errand, outcome) {
-            (Errand::Tail | Errand::Idle, _) => return,
+            (Errand::Tail | Errand::Idle, _) | (_, Outcome::Moot) => return,
             (_, Outcome::Ok | Outcome::Full | Outcome::Error) => Sign::Life,
             (_, Outcome::ConnectFailed) => Sign::Death,
             (Errand::Look | Errand::Probe, _) => Sign::Death,
@@ -222,13 +229,13 @@
         &mut self,
         now: Micros,
         call: &InvokerCall,
-        place: Option<&Place>,
+        aim: Option<(Aim, &Place)>,
         net: &mut Net,
         core: &mut Core,
     ) {
         let (id, attempt, work) = (call.id, call.attempt, &call.work);
         let remaining = call.until - now;
-        let sent = place.is_some_and(|place| {
+        let sent = aim.is_some_and(|(aim, place)| {
             let (bytes, speech) = if self.figures.by_submission.contains(&call.worker) {
                 let submitted = Submitted::new(&work.txn, self.figures.reads);
                 (
@@ -240,7 +247,8 @@
                 let bytes = outcomes::request(work, &place.addr.to_string(), remaining);
                 (bytes, Speech::Http(answer))
             };
-            let link = Link::new(call.worker, Errand::Call(id, attempt), speech, now);
+            let mut link = Link::new(call.worker, Errand::Call(id, attempt), speech, now);
+            link.aim = Some(aim);
             self.say(now, place, link, &bytes, net)
         });
         if !sent {
@@ -253,17 +261,18 @@
         &mut self,
         now: Micros,
         worker: WorkerId,
-        place: Option<&Place>,
+        aim: Option<(Aim, &Place)>,
         net: &mut Net,
         core: &mut Core,
     ) {
         if self.figures.by_submission.contains(&worker) {
             return core.probed(now, worker, Outcome::Ok, None);
         }
-        let sent = place.is_some_and(|place| {
+        let sent = aim.is_some_and(|(aim, place)| {
             let bytes = outcomes::probe(&place.addr.to_string(), self.figures.reports);
             let speech = Speech::Http(Answer::new(None, self.figures.reads));
-            let link = Link::new(worker, Errand::Probe, speech, now);
+            let mut link = Link::new(worker, Errand::Probe, speech, now);
+            link.aim = Some(aim);
             self.say(now, place, link, &bytes, net)
         });
         if !sent {
@@ -298,6 +307,8 @@
         };
         if let Errand::Call(id, attempt) = link.errand {
             self.calls.insert((id, attempt), token);
+        }
+        if link.aim.is_some() {
             self.writing.push(token);
         }
         self.links.insert(token, link);
@@ -373,47 +384,60 @@
         let links = &mut self.links;
         self.writing.retain(|token| {
             let link = links.get_mut(token);
-            let link = link.filter(|l| matches!(l.errand, Errand::Call(..)));
+            let link = link.filter(|l| matches!(l.errand, Errand::Call(..) | Errand::Probe));
             let (Some(link), Some(conn)) = (link, net.get(*token)) else {
                 return false;
             };
             link.note_written(conn, core);
-            !link.written
+            !link.written && (conn.is_connecting() || !conn.output.is_empty())
         });
     }
 
-    /// The worker gets nothing new from now on: calls that still wait for a connection are not made.
-    pub fn hold_back(&mut self, now: Micros, worker: WorkerId, net: &mut Net, core: &mut Core) {
-        let mut waits = |token: &Token| net.get(*token).is_some_and(|conn| conn.is_connecting());
-        let links = self.links.iter().filter(|(_, l)| l.worker == worker);
-        let tokens: Vec<Token> = links.map(|(t, _)| *t).filter(|t| waits(t)).collect();
-        // That they are not made shows nothing of the worker.
-        let wants = std::mem::take(&mut self.wants_signs);
-        for token in tokens {
-            self.broke(now, token, Outcome::ConnectFailed, net, core);
-        }
-        self.wants_signs = wants;
+    /// Whether the first byte of a call or probe may leave when all is written out next.
+    pub fn is_about_to_send(&self) -> bool {
+        !self.writing.is_empty()
     }
 
-    /// The time is over in which calls that need seats might begin: those of which no byte has left are not made. Tells
-    /// whether there were any.
-    pub fn unseat(&mut self, now: Micros, net: &mut Net, core: &mut Core) -> bool {
+    /// The invocations of whose calls the last byte has not left.
+    pub fn unwritten(&self) -> impl Iterator<Item = RequestId> + '_ {
+        let links = self
+            .writing
+            .iter()
+            .filter_map(|token| self.links.get(token));
+        links.filter_map(|link| match link.errand {
+            Errand::Call(id, _) if !link.written => Some(id),
+            _ => None,
+        })
+    }
+
+    /// Takes back what may no longer begin, at the last moment before its first byte leaves. A call begins with that
+    /// byte for its worker, which must be as it was when the call was decided: not draining, gone, started anew, out by
+    /// hand, or told by a list that is too old. So it does for its seats. For its invocation it begins with the last
+    /// byte: one that is over makes no further attempt. What is taken back has never run, and shows nothing of its
+    /// worker.
+    pub fn withdraw(&mut self, now: Micros, fleet: &Fleet, net: &mut Net, core: &mut Core) {
+        let unseated = core.seated_until().is_some_and(|until| until <= now);
         let mut late = Vec::new();
         for token in &self.writing {
             let (Some(link), Some(conn)) = (self.links.get(token), net.get(*token)) else {
                 continue;
             };
-            let unsent = conn.is_connecting() || conn.output.len() >= link.size;
-            if let Errand::Call(id, _) = link.errand {
-                if !link.written && unsent && core.is_seated(id) {
-                    late.push(*token);
+            let stands = link.aim.as_ref().is_some_and(|aim| fleet.stands(aim));
+            let over = match link.errand {
+                Errand::Call(id, _) if !link.written => {
+                    let seatless = unseated && core.is_seated(id);
+                    core.is_over(id) || link.is_unsent(conn) && (!stands || seatless)
                 }
+                Errand::Probe => link.is_unsent(conn) && !stands,
+                _ => false,
+            };
+            if over {
+                late.push(*token);
             }
         }
-        for token in &late {
-            self.broke(now, *token, Outcome::ConnectFailed, net, core);
+        for token in late {
+            self.broke(now, token, Outcome::Moot, net, core);
         }
-        !late.is_empty()
     }
 
     /// Closes all idle connections, and keeps none for a while.
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -217,6 +217,7 @@
             }
             ["old", signal] => signalled(self.old.as_ref().unwrap(), signal),
             ["hang"] => self.signal("-STOP"),
+            ["resume"] => self.signal("-CONT"),
             ["kill"] => {
                 let mut child = self.child.take().unwrap();
                 child.kill().and_then(|()| child.wait()).unwrap();
