Notice a client's end apart from reading, and once more right before its call begins

Seen: the end of a client that sends much and goes is not noticed while its request waits: with a full input ring the connection is waited on for nothing (Connection::wanted), so its call leaves when its connection comes up. Noticed late too: where more has come than a turn takes, what leaves in that turn is not held against closes that the next turn would find. gone_unread and gone_in_one_turn fail on; gone_many fails with the line of the last look taken out, gone_unread without EPOLLRDHUP.

Change: clients' connections are waited on for the peer's end at all times; before calls begin, the clients of all that are about to begin are asked about in one poll. Checked and not at fault: jobs that wait for probes or peers (Event::Gone drops the request, a late answer finds none), timers (the same), sends decided in the turn of the close (moot in core/route.rs).

--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -245,17 +245,34 @@
             return;
         };
         if conn.eof || conn.broken {
-            // It has gone; what it had not wholly sent is nobody's.
-            let gone = self.forget(token);
-            net.close(token);
-            if let Some(Stage::Waiting(id, _)) = gone.map(|c| c.stage) {
-                core.gone(now, id);
-            }
-            return;
+            return self.gone(now, token, net, core);
         }
         self.read(now, token, net, core);
     }
 
+    /// A consumer has gone; what it had not wholly sent is nobody's.
+    fn gone(&mut self, now: Micros, token: Token, net: &mut Net, core: &mut Core) {
+        let gone = self.forget(token);
+        net.close(token);
+        if let Some(Stage::Waiting(id, _)) = gone.map(|c| c.stage) {
+            core.gone(now, id);
+        }
+    }
+
+    /// Looks which of the consumers of these invocations have gone.
+    pub fn look(
+        &mut self,
+        now: Micros,
+        ids: impl Iterator<Item = RequestId>,
+        net: &mut Net,
+        core: &mut Core,
+    ) {
+        let asked = ids.filter_map(|id| self.waiting.get(&id).copied());
+        for token in net.ended(asked.collect()) {
+            self.gone(now, token, net, core);
+        }
+    }
+
     /// Reads on until a request is whole, or nothing more has come.
     fn read(&mut self, now: Micros, token: Token, net: &mut Net, core: &mut Core) {
         while let Some(consumer) = self.open.get_mut(&token) {
--- a/node/src/net/conn.rs
+++ b/node/src/net/conn.rs
@@ -30,6 +30,10 @@
     pub broken: bool,
     /// To be closed once the output is out.
     pub(super) closing: bool,
+    /// Its end is wanted at once, also where nothing is read for want of room.
+    pub(super) tells_end: bool,
+    /// What still comes is not read: it stays the peer's.
+    pub(super) deaf: bool,
     pub(super) interest: EventFlags,
 }
 
@@ -43,6 +47,8 @@
             eof: false,
             broken: false,
             closing: false,
+            tells_end: false,
+            deaf: false,
             interest: EventFlags::empty(),
         }
     }
@@ -130,9 +136,13 @@
     /// What the loop is to wait for.
     pub(super) fn wanted(&self) -> EventFlags {
         let mut wanted = EventFlags::empty();
-        if !self.input.is_full() && !self.eof && self.state != State::Connecting {
+        let hears = !self.input.is_full() && !self.deaf;
+        if hears && !self.eof && self.state != State::Connecting {
             wanted |= EventFlags::IN;
         }
+        if (self.tells_end || self.deaf) && !self.eof {
+            wanted |= EventFlags::RDHUP;
+        }
         if self.state == State::Connecting || !self.output.is_empty() {
             wanted |= EventFlags::OUT;
         }
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -8,7 +8,7 @@
 use conn::{Connection, State};
 use marbledeck::Micros;
 use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
-use rustix::event::Timespec;
+use rustix::event::{PollFd, PollFlags, Timespec};
 use rustix::fd::{AsFd, OwnedFd};
 use rustix::io::Errno;
 use rustix::net::{sockopt, AddressFamily, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
@@ -23,6 +23,10 @@
 /// How long a connection that is being closed may take to send the rest, and then drops what still comes. A peer
 /// that sends on without end, or reads nothing, holds its descriptor no longer.
 const LINGER: Micros = millis(3000);
+/// The peer sends nothing more, whether or not all that it sent is read.
+const ENDED: EventFlags = EventFlags::RDHUP
+    .union(EventFlags::HUP)
+    .union(EventFlags::ERR);
 /// A direction of a connection holds a body of 64 KiB with its head, or a result of that size escaped.
 const RING: usize = 192 * 1024;
 /// What is held of what a consumer sends: its longest head. Bodies are taken out as they come.
@@ -284,7 +288,8 @@
             Peer::Partner => (PARTNER_RING, PARTNER_RING),
             _ => (RING, RING),
         };
-        let conn = Connection::new(fd, State::Open, input, output);
+        let mut conn = Connection::new(fd, State::Open, input, output);
+        conn.tells_end = peer == Peer::Consumer;
         self.enter(peer, Socket::Stream(Box::new(conn))).map(Some)
     }
 
@@ -344,6 +349,29 @@
         }
     }
 
+    /// Those of these connections of which the peer sends nothing more, as it is now.
+    pub fn ended(&self, tokens: Vec<Token>) -> Vec<Token> {
+        let open = |t: &Token| {
+            self.slots
+                .get(t.index())?
+                .as_ref()
+                .filter(|s| s.token == *t)
+        };
+        let slots: Vec<&Slot> = tokens.iter().filter_map(open).collect();
+        let mut asked: Vec<PollFd> = slots
+            .iter()
+            .map(|slot| PollFd::new(slot.socket.fd(), PollFlags::RDHUP))
+            .collect();
+        let at_once = Timespec::default();
+        if rustix::event::poll(&mut asked, Some(&at_once)).is_err() {
+            return Vec::new();
+        }
+        let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let told = slots.iter().zip(&asked);
+        let ended = told.filter(|(_, asked)| asked.revents().intersects(gone));
+        ended.map(|(slot, _)| slot.token).collect()
+    }
+
     /// Looks whether anything has come on a connection, though nothing was told of it.
     pub fn look(&mut self, token: Token) -> Option<Ready> {
         self.get(token).filter(|conn| !conn.is_connecting())?;
@@ -523,6 +551,7 @@
         };
         // Both directions are gone: without this, a full input would be told of again and again.
         conn.broken |= !more && flags.intersects(EventFlags::ERR | EventFlags::HUP);
+        conn.eof |= conn.tells_end && flags.intersects(ENDED);
         if conn.state == State::Lingering || conn.closing {
             if conn.broken || conn.eof && conn.output.is_empty() {
                 self.close(token);
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -697,6 +697,7 @@
             fleet,
             ..
         } = &mut self.hub;
+        self.consumers.look(now, workers.unwritten(), net, core);
         workers.withdraw(now, fleet, net, core);
         // What becomes of their jobs is not left to the next turn.
         self.carry_out(now);
