Run one clock from each call to the directory that was not answered

Seen: the operators' sends to workers announced as leaving. After a call that the directory refused (503, or a broken one after another), Clocks::failed started no clock and left it to the module when to ask again: up to half of must-ask-in, 5 s, at random, and again 5 s if that failed too. Ruled out as proof of a directory that is down: the 503, which one with too many callers gives too.

New term: whatever becomes of a call, a change counts as told 6 s after the directory had it and could be reached. One clock: since when something may have been missed; only an answer ends the doubt, only a refused connection moves it, and only after a watch that was surely held. Retries within 0.3 to 0.6 s, drawn. docs/fleet.md has the table, and what it does not cover. A node with pushed lists never asked at all unless a job's event made it (Directory::again), and so stopped sending 0.4 s after its start: mended, pushed and refused_directory fail without it.

--- a/node/src/directory/clocks.rs
+++ b/node/src/directory/clocks.rs
@@ -1,23 +1,24 @@
 //! When the directory is asked, and until when what it has told may be trusted. No input or output: the link in the
 //! module above asks as it is told here, and tells what has become of it.
 //!
-//! The rule has clocks of its own, of which each has one here that runs out before it: `docs/fleet.md` has the table.
-//! What a watch that has fallen silent misses counts as told [`SILENCE`] after that, or [`AFTER_WAIT`] after the end of
-//! its wait where that is later. The node cannot see when the silence began, and takes the moment of the question.
+//! The rule: whatever becomes of a call, a change counts as told [`SILENCE`] after the directory had it and could be
+//! reached. So after each call that was not answered there is a moment since when something may have been missed, and
+//! the list is trusted for no longer than that, the rule's span and the drain's grace. `docs/fleet.md` has the table.
 
 use marbledeck::Micros;
 
-/// The rule's clocks (protocol page, Figures; standing test): what a silent call misses counts as told so long after it
-/// fell silent ...
+/// The rule's clocks (protocol page, Figures; standing test): a change counts as told so long after the directory had it
+/// and could be reached.
 pub const SILENCE: Micros = Micros(6_000_000);
-/// ... or so long after the end of its wait, if that is later.
-pub const AFTER_WAIT: Micros = Micros(2_000_000);
 /// What a new directory has counts as told so long after the move (SIGHUP).
 pub const MOVED: Micros = Micros(4_000_000);
 
 /// How much longer than its wait a call may take: a directory works its calls off in turn, and fails those itself that
-/// have waited for a second (protocol page).
+/// have waited for long.
 const TURN: Micros = Micros(1_200_000);
+/// No directory lets a call wait for its turn for longer than this: one that has been out for longer was a watch that
+/// the directory held.
+const QUEUED: Micros = Micros(2 * TURN.0);
 /// A watch waits at most for so long: one that is silent from its first moment is asked after [`TURN`] more, and there
 /// is a whole call's time until the rule's clock runs out, with the drain's grace to spare.
 const LONGEST: Micros = Micros(SILENCE.0 - 2 * TURN.0);
@@ -25,9 +26,12 @@
 const SHORTEST: f64 = 0.5;
 /// How long a directory may take for the whole list once the node has moved to it: two tries fit into [`MOVED`].
 const WHOLE: Micros = Micros(2_000_000);
-/// The longest pause before a directory is asked once more that does not answer, drawn at random. None after a watch: its
-/// wait was drawn.
+/// The longest pause before a directory is asked once more that does not answer, drawn at random, and the longest that
+/// it grows to: some tries fit into the rule's span. None after a watch: its wait was drawn.
 const PAUSE: Micros = Micros(300_000);
+const LONG_PAUSE: Micros = Micros(600_000);
+/// Where lists are pushed, what is there at the directory's return counts at once: so many tries fit into the grace.
+const TRIES_IN_GRACE: u64 = 4;
 
 /// What to ask the directory for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,17 +57,10 @@
     Silent,
     /// A connection that was up has ended, or what came made no sense.
     Broken,
-    /// The directory has said so, or takes no connection.
+    /// The directory has said so, or this node could not even ask.
     Refused,
-}
-
-/// What is to be done after a call that has failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Next {
-    /// Ask at this moment.
-    At(Micros),
-    /// The decision module says when.
-    AsDecided,
+    /// The connection was refused: proof that the directory could not be reached at this moment. No other fault is.
+    Unreachable,
 }
 
 /// The clocks of one node's list.
@@ -71,6 +68,8 @@
 pub struct Clocks {
     /// How long a drain that was told may be disregarded.
     grace: Micros,
+    /// Lists are pushed: what the directory has counts as told at once.
+    pushed: bool,
     rng: oorandom::Rand64,
     /// The call that is out, and when it was asked.
     asked: Option<(Micros, Call)>,
@@ -78,8 +77,11 @@
     deemed: Option<Micros>,
     /// The node has moved to a directory that has not told its list yet.
     moving: bool,
-    /// The last call was answered.
-    answered: bool,
+    /// Calls since the last that was answered.
+    failures: u32,
+    /// All that has gone wrong since the last answer is that a watch broke that the directory had held, and that it could
+    /// not be reached after that: it went down, and had told all until then.
+    down: bool,
 }
 
 impl Clocks {
@@ -88,11 +90,13 @@
     pub fn new(now: Micros, grace: Micros, pushed: bool, seed: u64) -> Self {
         Clocks {
             grace,
+            pushed,
             rng: oorandom::Rand64::new(u128::from(seed)),
             asked: None,
             deemed: pushed.then_some(now),
             moving: false,
-            answered: true,
+            failures: 0,
+            down: !pushed,
         }
     }
 
@@ -107,7 +111,7 @@
             (Ask::Whole, WHOLE)
         } else if self.deemed.is_some() {
             // Only an answer ends the doubt: it must not wait for a change.
-            (Ask::Changes { wait: Micros(0) }, TURN)
+            (Ask::Changes { wait: Micros(0) }, self.patience())
         } else {
             let least = Micros::from_secs(LONGEST.secs() * SHORTEST);
             let wait = least + self.drawn(LONGEST - least);
@@ -121,43 +125,70 @@
         call
     }
 
+    /// How long an answer without a wait may take. Every other time as long as the directory itself lets a call wait:
+    /// one with many callers would else never be heard.
+    fn patience(&self) -> Micros {
+        match (self.pushed, self.failures % 2) {
+            (true, 1) => Micros(self.grace.0 / TRIES_IN_GRACE),
+            (false, 0) if self.failures > 0 => QUEUED,
+            _ => TURN,
+        }
+    }
+
     /// The list, or a part of it, has come.
     pub fn answered(&mut self) {
         (self.asked, self.deemed) = (None, None);
-        (self.moving, self.answered) = (false, true);
+        (self.moving, self.failures, self.down) = (false, 0, true);
     }
 
-    /// The call has failed.
-    pub fn failed(&mut self, now: Micros, fault: Fault) -> Next {
-        let was_answered = std::mem::replace(&mut self.answered, false);
-        let told = self.bequest();
-        self.asked = None;
-        if fault == Fault::Silent {
-            self.deemed = told;
-        }
-        // A watch that broke may have been silent before: it is opened anew soon, and not in step with the others. A
-        // directory that refuses is down or has too many callers, and the rule then gives more time than the module takes.
+    /// The call has failed: when to ask again.
+    pub fn failed(&mut self, now: Micros, fault: Fault) -> Micros {
+        let (asked, held) = match self.asked.take() {
+            Some((asked, Call { ask, .. })) => {
+                let waits = matches!(ask, Ask::Changes { wait } if wait > Micros(0));
+                (asked, waits && now - asked > QUEUED)
+            }
+            None => (now, false),
+        };
+        let first = self.failures == 0;
+        self.failures += 1;
+        self.down &= match fault {
+            Fault::Broken => first && held,
+            Fault::Unreachable => true,
+            Fault::Silent | Fault::Refused => false,
+        };
+        // Since when something may have been missed: a call may have waited for its turn, or been silent, from its first
+        // moment. Not one that the directory held, and ended with a word of its own.
+        let missed = match fault {
+            Fault::Refused if held => now,
+            _ => asked,
+        };
+        let told = missed + SILENCE;
+        self.deemed = Some(match self.deemed {
+            Some(before) if !(self.down && fault == Fault::Unreachable) => before.min(told),
+            _ => told,
+        });
+        // A watch that broke is opened anew soon, and not in step with the others.
         let pause = match fault {
-            Fault::Silent if was_answered => Micros(0),
-            Fault::Broken if was_answered => TURN,
-            _ if self.deemed.is_some() || self.moving => PAUSE,
-            _ => return Next::AsDecided,
+            _ if self.pushed => Micros(self.grace.0 / TRIES_IN_GRACE),
+            Fault::Silent if first => Micros(0),
+            Fault::Broken if first => TURN,
+            _ if self.failures <= 2 || self.moving => PAUSE,
+            _ => LONG_PAUSE,
         };
-        Next::At(now + self.drawn(pause))
+        now + self.drawn(pause)
     }
 
     /// From when on something that was not heard may count as told, should the call that is out be silent.
     pub fn bequest(&self) -> Option<Micros> {
-        let silent = self.asked.map(|(asked, call)| match call.ask {
-            Ask::Changes { wait } => (asked + SILENCE).max(asked + wait + AFTER_WAIT),
-            Ask::Whole => asked + SILENCE,
-        });
+        let silent = self.asked.map(|(asked, _)| asked + SILENCE);
         self.deemed.into_iter().chain(silent).min()
     }
 
     /// Takes over another process's doubt.
     pub fn inherit(&mut self, told: Micros) {
         self.deemed = Some(self.deemed.map_or(told, |before| before.min(told)));
+        self.down = false;
     }
 
     /// The node goes over to another directory.
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -633,13 +633,8 @@
         let named = config.directory_in_file;
         if let Some(addr) = named.filter(|_| named != self.directory_in_file) {
             self.directory_in_file = named;
-            let Hub {
-                net,
-                core,
-                directory,
-                ..
-            } = &mut self.hub;
-            directory.move_to(now, addr, net, core);
+            let Hub { net, directory, .. } = &mut self.hub;
+            directory.move_to(now, addr, net);
         }
         log::info!("reload: done");
     }
@@ -778,7 +773,7 @@
                     let parties = self.parties.iter_mut();
                     parties.for_each(|party| party.came_back(now, worker));
                 }
-                Command::Watch => directory.watch(now, net, core),
+                Command::Watch => directory.watch(now, net),
                 Command::Answer { id, verdict, sent } => {
                     if !self.consumers.answer(now, id, &verdict, net, core) {
                         let mut parties = self.parties.iter_mut();
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -290,6 +290,8 @@
         let connect = limit("connect=").unwrap_or("250000");
         let timeout = "\"connect-timeout-us\":";
         let config = config.replace(&format!("{timeout}250000"), &format!("{timeout}{connect}"));
+        let mode = limit("mode=").unwrap_or("subscribe");
+        let config = config.replace("\"subscribe\"", &format!("\"{mode}\""));
         let path = self.folder.join("config.json");
         fs::write(&path, &config).unwrap();
         self.config = config;
