Give calls in doubt their turn, and ask again at growing pauses

Change: a call in doubt is given 2.4 s, longer than a directory lets a call wait, and pauses grow from 0.3 to 1.2 s.

--- a/node/src/directory/clocks.rs
+++ b/node/src/directory/clocks.rs
@@ -26,10 +26,9 @@
 const SHORTEST: f64 = 0.5;
 /// How long a directory may take for the whole list once the node has moved to it: two tries fit into [`MOVED`].
 const WHOLE: Micros = Micros(2_000_000);
-/// The longest pause before a directory is asked once more that does not answer, drawn at random, and the longest that
-/// it grows to: some tries fit into the rule's span. None after a watch: its wait was drawn.
+/// The longest pause before a directory is asked once more that does not answer, drawn at random; it doubles with each
+/// failure, twice at most. None after a silent watch: its wait was drawn.
 const PAUSE: Micros = Micros(300_000);
-const LONG_PAUSE: Micros = Micros(600_000);
 /// Where lists are pushed, what is there at the directory's return counts at once: so many tries fit into the grace.
 const TRIES_IN_GRACE: u64 = 4;
 
@@ -125,13 +124,12 @@
         call
     }
 
-    /// How long an answer without a wait may take. Every other time as long as the directory itself lets a call wait:
-    /// one with many callers would else never be heard.
+    /// How long an answer without a wait may take: as long as the directory itself lets a call wait. One with many callers
+    /// would never be heard by a node that gave up before its turn and asked again at the end of the queue.
     fn patience(&self) -> Micros {
-        match (self.pushed, self.failures % 2) {
-            (true, 1) => Micros(self.grace.0 / TRIES_IN_GRACE),
-            (false, 0) if self.failures > 0 => QUEUED,
-            _ => TURN,
+        match self.pushed && self.failures > 0 {
+            true => Micros(self.grace.0 / TRIES_IN_GRACE),
+            false => QUEUED,
         }
     }
 
@@ -173,8 +171,9 @@
             _ if self.pushed => Micros(self.grace.0 / TRIES_IN_GRACE),
             Fault::Silent if first => Micros(0),
             Fault::Broken if first => TURN,
-            _ if self.failures <= 2 || self.moving => PAUSE,
-            _ => LONG_PAUSE,
+            _ if self.moving => PAUSE,
+            // Backoff: many callers are what keeps a directory from answering.
+            _ => Micros(PAUSE.0 << (self.failures.min(3) - 1)),
         };
         now + self.drawn(pause)
     }
--- a/node/tests/directory.rs
+++ b/node/tests/directory.rs
@@ -94,7 +94,7 @@
             moved: None,
         })
         .collect();
-    let mut queue: VecDeque<usize> = VecDeque::new();
+    let mut queue: VecDeque<(usize, Micros)> = VecDeque::new();
     // When the directory had each change and could be reached; what is pushed counts as told from the first moment.
     let mut had = Vec::new();
     if day.pushed {
@@ -133,14 +133,17 @@
             credit + day.capacity * STEP.secs(),
             1.0_f64.max(day.capacity * STEP.secs()),
         );
-        while credit >= 1.0 && !down && !mute {
-            let Some(n) = queue.pop_front() else { break };
-            if let Some(call) = nodes[n]
-                .call
-                .as_mut()
-                .filter(|call| call.stage == Stage::Queued)
-            {
-                credit -= 1.0;
+        if down || refuses || mute {
+            queue.clear();
+        }
+        while credit >= 1.0 {
+            let Some((n, at)) = queue.pop_front() else {
+                break;
+            };
+            // A call that its node has given up has its turn all the same.
+            credit -= 1.0;
+            let call = nodes[n].call.as_mut();
+            if let Some(call) = call.filter(|c| c.at == at && c.stage == Stage::Queued) {
                 call.stage = Stage::Held;
             }
         }
@@ -186,11 +189,6 @@
                 fault = Some(Fault::Silent);
             }
             if let Some(fault) = fault {
-                if let (Some(call), Fault::Silent) = (&node.call, fault) {
-                    if call.stage == Stage::Queued {
-                        queue.retain(|queued| *queued != n);
-                    }
-                }
                 node.call = None;
                 node.again = Some(node.clocks.failed(now, fault));
             }
@@ -203,7 +201,7 @@
                     stage: Stage::Queued,
                 });
                 node.again = None;
-                queue.push_back(n);
+                queue.push_back((n, now));
                 seen.calls += 1;
             }
             // The rule: whatever became of the calls, a change counts as told so long after the directory had it and
