End only when clients have heard the last answers, and settle jobs before SIGKILL

Seen by tests with the bad order forced, each failing on: a process ended as soon as its own rings were empty (Net::is_flushed), over bytes that clients had sent behind their requests; the reset took a 60 KB answer with it that the system still held for a slow client (last_answer). Where more than 32 connections waited when the listener closed, or the node had stood still, the rest were reset though the system had accepted them (ending_queue). Jobs at hanging workers were answered before SIGKILL only where a successor served (Node::settling); else they waited for their deadline of up to 25 s (ending_hung). Checked and not at fault: SIGTERM and SIGHUP together and twice (ending_signals passes there too).

--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -59,6 +59,13 @@
     held: usize,
 }
 
+impl Consumer {
+    /// Its first request may be on the way.
+    fn is_young(&self, now: Micros) -> bool {
+        self.request == 0 && now < self.accepted + YOUNG
+    }
+}
+
 pub struct Consumers {
     pub listener: Token,
     pub addr: SocketAddr,
@@ -195,10 +202,9 @@
     }
 
     fn to_spare(&self, now: Micros, young: bool, net: &mut Net) -> Option<Token> {
-        let is_young = |c: &Consumer| c.request == 0 && now < c.accepted + YOUNG;
         let mut spare = self.spare.iter();
         let found = spare.find(|((spare, _), token)| {
-            let old = self.open.get(token).is_some_and(|c| !is_young(c));
+            let old = self.open.get(token).is_some_and(|c| !c.is_young(now));
             (old || young) && (*spare == Spare::HalfRead || net.is_quiet(**token))
         });
         found.map(|(_, token)| *token)
@@ -469,18 +475,24 @@
         self.say(token, &reply, net);
     }
 
-    /// Stops taking connections and closes those between two requests. One on which something has come meanwhile
-    /// is left alone: that is read and answered. An answer given in this turn is still to be written.
-    pub fn close_idle(&mut self, net: &mut Net) {
+    /// Takes the connections that wait, stops taking any, and closes those between two requests. One on which something
+    /// has come meanwhile is left alone: that is read and answered; and so is a new one, whose first request is on its way.
+    /// An answer given in this turn is still to be written.
+    pub fn close_idle(&mut self, now: Micros, net: &mut Net) {
+        let mut before = None;
+        // Those that wait were accepted by the system: closing the listener would reset them, with what they brought.
+        while self.resting.is_none() && before.replace(self.open.len()) != Some(self.open.len()) {
+            self.accept(now, net);
+        }
         net.close(self.listener);
         self.resting = None;
         let idle = self.open.iter();
-        let idle = idle.filter(|(_, c)| matches!(c.stage, Stage::Idle));
+        let idle = idle.filter(|(_, c)| matches!(c.stage, Stage::Idle) && !c.is_young(now));
         let idle: Vec<Token> = idle.map(|(token, _)| *token).collect();
         for token in idle {
             if net.is_quiet(token) {
                 self.forget(token);
-                net.finish(token);
+                net.rest(token);
             }
         }
     }
@@ -490,7 +502,9 @@
         let unread = |c: &Consumer| !matches!(c.stage, Stage::Waiting(..));
         let all = self.open.iter().filter(|(_, c)| unread(c));
         for token in all.map(|(token, _)| *token).collect::<Vec<_>>() {
-            self.drop_consumer(token, net);
+            self.forget(token);
+            // An earlier answer may still be on its way: it is not to be lost by a reset.
+            net.finish(token);
         }
     }
 
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -436,6 +436,17 @@
         }
     }
 
+    /// Closes a connection between two requests: nothing is owed on it. What still comes there is not read, so that who
+    /// sent it knows that it was not taken.
+    pub fn rest(&mut self, token: Token) {
+        self.finish(token);
+        if let Some(conn) = self.get(token).filter(|conn| conn.output.is_empty()) {
+            conn.deaf = true;
+            let _ = rustix::net::shutdown(&conn.fd, Shutdown::Write);
+            conn.state = State::Lingering;
+        }
+    }
+
     /// How many connections are being closed and still hold their descriptors: those of operators, or all others.
     pub fn leaving(&self, peer: Peer) -> usize {
         self.leaving[apart(peer)]
@@ -453,7 +464,7 @@
         }
     }
 
-    /// Whether all answers on connections that are being closed are out.
+    /// Whether all that was said last on connections that are being closed has left this process.
     pub fn is_flushed(&self) -> bool {
         let unsent = |slot: &Slot| match &slot.socket {
             Socket::Stream(conn) => conn.closing && !conn.output.is_empty(),
@@ -462,6 +473,12 @@
         !self.slots.iter().flatten().any(unsent)
     }
 
+    /// Whether all connections that are being closed are, but for operators': their peers have heard the last answers.
+    /// Were this process to end before, bytes that come meanwhile would reset them, and answers on the way would go too.
+    pub fn is_closed(&self) -> bool {
+        self.leaving(Peer::Consumer) == 0
+    }
+
     /// Writes out and waits anew where something was written, read or closed since the last time.
     pub fn settle(&mut self, now: Micros) {
         self.now = now;
@@ -543,6 +560,7 @@
             conn.connected();
         }
         let more = match conn.state {
+            State::Lingering if conn.deaf => false,
             State::Lingering => {
                 conn.drop_rest();
                 false
@@ -552,6 +570,10 @@
         // Both directions are gone: without this, a full input would be told of again and again.
         conn.broken |= !more && flags.intersects(EventFlags::ERR | EventFlags::HUP);
         conn.eof |= conn.tells_end && flags.intersects(ENDED);
+        if conn.deaf && flags.intersects(ENDED) {
+            self.close(token);
+            return None;
+        }
         if conn.state == State::Lingering || conn.closing {
             if conn.broken || conn.eof && conn.output.is_empty() {
                 self.close(token);
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -34,6 +34,8 @@
 const LONGEST: Micros = millis(3000);
 /// What is still open so long before that is settled: time for the answers to leave, on a busy machine too.
 const SETTLING: Micros = millis(300);
+/// So long before it the process ends where all is answered, though some have not closed their connections yet.
+const LEAVING: Micros = millis(100);
 /// How much longer a request may take that has begun to come.
 const HALF_READ: Micros = millis(1000);
 /// How often the counts are logged.
@@ -70,8 +72,10 @@
     ending: Option<Micros>,
     /// No connection is taken any more.
     closed: bool,
-    /// When what is still open is settled, once a successor serves and SIGTERM has come.
+    /// When what is still open is settled, once SIGTERM has come.
     settling: Option<Micros>,
+    /// SIGKILL comes no sooner, once SIGTERM has come.
+    killed: Option<Micros>,
     /// How many processes the rates are shared by.
     sharing: u32,
     /// The process that this one replaces knows that it can serve.
@@ -282,6 +286,7 @@
             ending: None,
             closed: false,
             settling: None,
+            killed: None,
             sharing: 1,
             announced: false,
             heirs: Vec::new(),
@@ -328,6 +333,7 @@
             self.ops.as_ref().and_then(Ops::next_wake),
             self.ending,
             self.settling,
+            self.killed.map(|at| at - LEAVING),
             self.patience,
             Some(self.next_counts),
         ];
@@ -589,8 +595,6 @@
     /// SIGTERM has come and the successor serves: nothing is taken any more, and what is open is finished, as far as
     /// there is time.
     fn hand_over(&mut self, now: Micros) {
-        let longest = self.hub.core.catalogue().longest().min(LONGEST);
-        self.settling = Some(now + longest + KILLED - SETTLING);
         self.ending = Some(now + HALF_READ);
         self.patience = Some(now + LONGEST);
         self.close(now);
@@ -599,7 +603,7 @@
     /// Nothing is taken any more.
     fn close(&mut self, now: Micros) {
         self.closed = true;
-        self.consumers.close_idle(&mut self.hub.net);
+        self.consumers.close_idle(now, &mut self.hub.net);
         self.parties.iter_mut().for_each(|party| party.abandon(now));
     }
 
@@ -608,6 +612,9 @@
         drain(&mut self.signals.end);
         if self.ending.is_none() {
             log::info!("ending");
+            let longest = self.hub.core.catalogue().longest().min(LONGEST);
+            let killed = now + longest + KILLED;
+            (self.killed, self.settling) = (Some(killed), Some(killed - SETTLING));
             self.ending = Some(now + ENDING);
             self.consumers.ending = true;
             self.parties.iter_mut().for_each(|party| party.end(now));
@@ -653,7 +660,9 @@
             || self.parties.iter().all(|party| told(&**party))
                 && self.handover.is_flushed(&mut self.hub.net);
         let Hub { net, core, .. } = &self.hub;
-        self.closed && self.consumers.is_idle() && core.idle() && net.is_flushed() && told
+        let leaves = self.killed.is_some_and(|at| at - LEAVING <= now);
+        let heard = net.is_closed() || leaves && net.is_flushed();
+        self.closed && self.consumers.is_idle() && core.idle() && heard && told
     }
 
     /// Carries out what the core wants done, writes it out and waits anew.
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,6 +3,7 @@
 //! Tests run side by side, and each forks: until its exec, a child has copies of all sockets of all tests. So a close
 //! alone may leave a connection or a listener open for a while; what is to be closed here is shut down.
 
+use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
 use std::collections::HashMap;
 use std::fs;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -151,6 +152,15 @@
         match words {
             ["start", rest @ ..] => self.start(rest, payload),
             ["consumer", name] => self.connect(name, "consumers"),
+            ["slow", "consumer", name] => {
+                // Set before it connects: what the node may send unread stays small.
+                let (family, kind) = (AddressFamily::INET, SocketType::STREAM);
+                let socket = net::socket_with(family, kind, SocketFlags::CLOEXEC, None).unwrap();
+                net::sockopt::set_socket_recv_buffer_size(&socket, 4096).unwrap();
+                let addr: SocketAddr = self.values["consumers"].parse().unwrap();
+                net::connect(&socket, &addr).unwrap();
+                self.keep(name, TcpStream::from(socket));
+            }
             ["elder", name] => self.connect(name, "elders"),
             ["operator", name] => self.connect(name, "operators"),
             ["submitter", name] => self.connect(name, "submitters"),
@@ -244,7 +254,7 @@
 
     /// A free address, kept from others.
     fn address(&mut self) -> String {
-        use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
+        use net::sockopt;
         let (family, flags) = (AddressFamily::INET, SocketFlags::CLOEXEC);
         let socket = net::socket_with(family, SocketType::STREAM, flags, None).unwrap();
         // One that listens may bind beside it, where it sets this as well.
@@ -410,6 +420,10 @@
         if Instant::now() > until || !rest.is_empty() {
             self.fail(&format!("still open, or not all was expected: {rest}"));
         }
+        // As a consumer does that reads the end.
+        let _ = self.connections[name]
+            .stream
+            .shutdown(std::net::Shutdown::Both);
     }
 
     /// Waits for a line of the log that ends like this.
