Let a keyed repeat leave only while its key is known, to the cell that saw the first

Seen: whether a keyed job may be repeated was asked when the repeat was decided (repeat_allowed, now - first.sent < window), but the rule counts its last byte at the worker, and a connection may be up to connect-timeout late. Also: the group was that of the first worker as it is now, not as it was when the job was sent.

Change: the decision gives the moment (repeat_until, carried by Action::Send in place of a time-out that was never set), and Workers::withdraw keeps it before the bytes leave. The unsafe effect has no further attempt while one is out or may have run, as before: outcomes_by_effect, random_sequences.

--- a/node/src/core/mod.rs
+++ b/node/src/core/mod.rs
@@ -72,6 +72,8 @@
     pub worker: WorkerId,
     pub work: Rc<Work>,
     pub until: Micros,
+    /// Its last byte has to leave before, if it is to leave at all.
+    pub latest: Option<Micros>,
 }
 
 /// What the fronts and the worker links are to do.
@@ -309,7 +311,7 @@
             self.dispatcher.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 match action {
-                    Action::Send(id, worker, timeout) => self.route(now, id, worker, timeout),
+                    Action::Send(id, worker, latest) => self.route(now, id, worker, latest),
                     Action::Refuse(id, come_back) => self.reject(id, come_back),
                     Action::Fail(id) => self.fail(id),
                     Action::Cancel(id, attempt) => self.cancel(now, id, attempt),
--- a/node/src/core/route.rs
+++ b/node/src/core/route.rs
@@ -11,7 +11,7 @@
         now: Micros,
         id: RequestId,
         worker: WorkerId,
-        timeout: Option<Micros>,
+        latest: Option<Micros>,
     ) {
         let most = self.attempts as usize;
         let Some(invocation) = self.table.get(id) else {
@@ -34,7 +34,7 @@
             never_ran: !may,
         });
         if may {
-            return self.send(now, id, attempt, timeout);
+            return self.send(id, attempt, latest);
         }
         let closed = invocation.answered;
         self.pending.push_back(Event::Ended(Ended {
--- a/node/src/core/send.rs
+++ b/node/src/core/send.rs
@@ -5,18 +5,11 @@
 use marbledeck::{Micros, Outcome, RequestId};
 
 impl Core {
-    pub(super) fn send(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        attempt: u32,
-        timeout: Option<Micros>,
-    ) {
+    pub(super) fn send(&mut self, id: RequestId, attempt: u32, latest: Option<Micros>) {
         let Some(invocation) = self.table.get(id) else {
             return;
         };
-        let asked = timeout.map_or(invocation.deadline, |t| now + t);
-        let until = asked.min(invocation.deadline);
+        let until = invocation.deadline;
         let worker = invocation.calls[attempt as usize].worker;
         let work = invocation.work.clone();
         self.timers.add(until, Due::Attempt(id, attempt));
@@ -28,6 +21,7 @@
             worker,
             work,
             until,
+            latest,
         }));
     }
 
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -60,6 +60,8 @@
     errand: Errand,
     /// What its call or probe was decided by.
     aim: Option<Aim>,
+    /// The last byte of its call has to leave before.
+    latest: Option<Micros>,
     speech: Option<Speech>,
     /// When its request was handed over.
     sent: Micros,
@@ -81,6 +83,7 @@
             worker,
             errand,
             aim: None,
+            latest: None,
             speech: Some(speech),
             sent,
             untried: false,
@@ -248,7 +251,7 @@
                 (bytes, Speech::Http(answer))
             };
             let mut link = Link::new(call.worker, Errand::Call(id, attempt), speech, now);
-            link.aim = Some(aim);
+            (link.aim, link.latest) = (Some(aim), call.latest);
             self.say(now, place, link, &bytes, net)
         });
         if !sent {
@@ -413,7 +416,7 @@
     /// Takes back what may no longer begin, at the last moment before its first byte leaves. A call begins with that
     /// byte for its worker, which must be as it was when the call was decided: not draining, gone, started anew, out by
     /// hand, or told by a list that is too old. So it does for its seats. For its invocation it begins with the last
-    /// byte: one that is over makes no further attempt. What is taken back has never run, and shows nothing of its
+    /// byte: one that is over makes no further attempt, nor one whose effect allows none any more. What is taken back has never run, and shows nothing of its
     /// worker.
     pub fn withdraw(&mut self, now: Micros, fleet: &Fleet, net: &mut Net, core: &mut Core) {
         let unseated = core.seated_until().is_some_and(|until| until <= now);
@@ -426,7 +429,8 @@
             let over = match link.errand {
                 Errand::Call(id, _) if !link.written => {
                     let seatless = unseated && core.is_seated(id);
-                    core.is_over(id) || link.is_unsent(conn) && (!stands || seatless)
+                    let late = link.latest.is_some_and(|latest| latest <= now);
+                    late || core.is_over(id) || link.is_unsent(conn) && (!stands || seatless)
                 }
                 Errand::Probe => link.is_unsent(conn) && !stands,
                 _ => false,
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -300,6 +300,9 @@
         let connect = limit("connect=").unwrap_or("250000");
         let timeout = "\"connect-timeout-us\":";
         let config = config.replace(&format!("{timeout}250000"), &format!("{timeout}{connect}"));
+        let window = limit("window=").unwrap_or("40000000");
+        let key = "\"dedup-window-us\":";
+        let config = config.replace(&format!("{key}40000000"), &format!("{key}{window}"));
         let mode = limit("mode=").unwrap_or("subscribe");
         let config = config.replace("\"subscribe\"", &format!("\"{mode}\""));
         let path = self.folder.join("config.json");
--- a/src/api.rs
+++ b/src/api.rs
@@ -399,8 +399,8 @@
 /// Something that the caller is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send an attempt, with a time-out (none: until the client gives up). The attempts of a request are numbered
-    /// from 0 in the order of their sends.
+    /// Send an attempt; where a moment is given, its last byte has to leave before that. The attempts of a request are
+    /// numbered from 0 in the order of their sends.
     Send(RequestId, WorkerId, Option<Micros>),
     /// Final: refuse, trying again does no harm; perhaps with the time to come back after.
     Refuse(RequestId, Option<Micros>),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -258,14 +258,15 @@
     fn may(&self, now: Micros, request: &Request, w: usize) -> bool {
         let (job, worker, slots) = (&request.job, &self.fleet[w], self.fleet.slots(w));
         let (entry, kind) = (&worker.entry, self.class(job).kind);
+        let until = self.repeat_until(request, entry);
         entry.state == State::Ready
             && request.deadline > now
             && request.attempts.len() < self.settings.limits.attempts as usize
             && kind.is_none_or(|k| k == entry.kind)
             && (slots == 0.0 || job.slots <= slots)
             && (worker.memory == 0.0 || job.memory <= worker.memory)
-            && request.attempts.iter().all(|a| a.worker != entry.worker)
-            && self.repeat_allowed(now, request, entry)
+            && !request.tried(entry.worker)
+            && until.is_none_or(|until| now < until)
             && self.cold_room(now, w, job)
     }
 
@@ -282,18 +283,15 @@
         room && now >= self.fleet[w].avoid_until && self.may(now, request, w)
     }
 
-    /// Whether the effect allows this request an attempt at this worker.
-    fn repeat_allowed(&self, now: Micros, request: &Request, entry: &Entry) -> bool {
-        let Some(first) = request.attempts.iter().find(|a| !a.never_ran()) else {
-            return true;
-        };
+    /// Until when the effect allows this request an attempt at this worker, where it may have run before.
+    fn repeat_until(&self, request: &Request, entry: &Entry) -> Option<Micros> {
+        let first = request.attempts.iter().find(|a| !a.never_ran())?;
         match self.class(&request.job).effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed(group, window) => {
-                let there = self.fleet.find(first.worker).map(|w| &self.fleet[w].entry);
-                now - first.sent < window && there.is_some_and(|there| there.shares(group, entry))
+            Effect::Safe => None,
+            Effect::Keyed(group, window) if first.entry.shares(group, entry) => {
+                Some(first.sent + window)
             }
+            Effect::Keyed(..) | Effect::Unsafe => Some(Micros(0)),
         }
     }
 
@@ -468,7 +466,7 @@
         let copies = limits.second_copies && self.class(&request.job).effect != Effect::Unsafe;
         let told = limits.cancel && self.settings.tells_start;
         let failed = |w: usize| self.fleet[w].avoid_until > last.sent;
-        let failed = self.fleet.find(last.worker).is_some_and(failed);
+        let failed = self.fleet.find(last.entry.worker).is_some_and(failed);
         let may = copies && told && failed && last.waits() && request.idle();
         may.then(|| last.sent + self.part(&request.job, ASKING))
     }
@@ -482,9 +480,10 @@
         let cost = request.job.slots * self.expected(&request.job);
         let (window, tells_start) = (self.settings.rules.tip_after, self.settings.tells_start);
         self.fleet[w].take(now, request.job.slots, cost, window, tells_start);
-        let worker = self.fleet[w].entry.worker;
-        request.attempts.push(Attempt::new(worker, now));
-        out.push(Action::Send(request.job.id, worker, None));
+        let entry = self.fleet[w].entry.clone();
+        let latest = self.repeat_until(&request, &entry);
+        out.push(Action::Send(request.job.id, entry.worker, latest));
+        request.attempts.push(Attempt::new(entry, now));
         let earlier = 0..request.attempts.len() - 1;
         for i in earlier.filter(|&i| request.attempts[i].waits()) {
             out.push(Action::Cancel(request.job.id, i as u32));
@@ -552,7 +551,7 @@
             return;
         };
         a.started = Some(now);
-        if let Some(w) = self.fleet.find(a.worker) {
+        if let Some(w) = self.fleet.find(a.entry.worker) {
             self.fleet[w].lag = (now - a.sent, now);
             self.fleet[w].no_longer_waits(a.sent);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -100,16 +100,17 @@
 
 #[derive(Default)]
 pub struct Attempt {
-    pub worker: WorkerId,
+    /// Its worker, as it was then.
+    pub entry: Entry,
     pub sent: Micros,
     pub started: Option<Micros>,
     pub outcome: Option<Outcome>,
 }
 
 impl Attempt {
-    pub fn new(worker: WorkerId, sent: Micros) -> Self {
+    pub fn new(entry: Entry, sent: Micros) -> Self {
         Attempt {
-            worker,
+            entry,
             sent,
             ..Attempt::default()
         }
@@ -157,6 +158,11 @@
         now - Micros(self.deadline.0 - self.job.time_left.0)
     }
 
+    /// Whether it was sent to this worker.
+    pub fn tried(&self, worker: WorkerId) -> bool {
+        self.attempts.iter().any(|a| a.entry.worker == worker)
+    }
+
     /// Whether none of its attempts is running, and it is not over.
     pub fn idle(&self) -> bool {
         !self.ended && !self.attempts.iter().any(Attempt::runs)
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -75,6 +75,48 @@
     assert_eq!(sent(&rig.end(2 * SECOND, 1, 0, to, Outcome::Reset)), None);
 }
 
+/// A repeat may be held up after it was decided: it carries the moment at which its effect allows it no more.
+#[test]
+fn a_repeat_says_until_when_it_may_leave() {
+    for effect in effects() {
+        let mut rig = Rig::new(settings(effect), 8);
+        let actions = rig.at(0, Event::Job(job(1)));
+        let Some(Action::Send(_, to, None)) =
+            actions.iter().find(|a| matches!(a, Action::Send(..)))
+        else {
+            panic!("{effect:?}: a first send may leave at any time: {actions:?}");
+        };
+        let next = rig.end(SECOND, 1, 0, *to, Outcome::Reset);
+        let latest = next.iter().find_map(|action| match action {
+            Action::Send(_, _, latest) => Some(*latest),
+            _ => None,
+        });
+        let wanted = match effect {
+            Effect::Safe => Some(None),
+            Effect::Keyed(_, window) => Some(Some(window)),
+            Effect::Unsafe => None,
+        };
+        assert_eq!(latest, wanted, "{effect:?}");
+    }
+}
+
+/// Repeats are discarded where the first was seen: in the cell that its worker was in then.
+#[test]
+fn a_worker_that_moves_to_another_cell_takes_no_keys_along() {
+    for seed in 0..20 {
+        let effect = Effect::Keyed(Group::Cell, Micros(5 * SECOND));
+        let mut rig = Rig::seeded(settings(effect), 8, seed);
+        let to = rig.place(0, 1);
+        let moved = Entry {
+            cell: Some(CellId(99)),
+            ..worker(to.0 as u32)
+        };
+        rig.at(10, Event::List(ListKind::Delta, vec![moved]));
+        let next = sent(&rig.end(SECOND, 1, 0, to, Outcome::Reset));
+        assert_eq!(next.map(|w| w.0 / 2), Some(to.0 / 2), "seed {seed}");
+    }
+}
+
 #[test]
 fn the_deadline_ends_a_request_at_once() {
     let mut rig = Rig::new(settings(Effect::Safe), 8);
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -219,15 +219,11 @@
         }
         let worker = |w: &Words, id: WorkerId| w.0[&id].clone();
         match action {
-            Action::Send(id, to, timeout) => {
+            // A send takes no time here: it cannot come too late.
+            Action::Send(id, to, _) => {
                 if let Some(open) = self.open.get_mut(&id) {
                     open.out += 1;
-                    let timeout = timeout.map_or(0, |t| t.0);
-                    put(
-                        out,
-                        &("try", &open.word, worker(&self.workers, to), timeout),
-                    );
-                    return;
+                    return put(out, &("try", &open.word, worker(&self.workers, to), 0));
                 }
             }
             Action::Refuse(id, retry_after) => {
