Give out a cold worker's budget so that no window holds more than budget and chance

Counted in virtual time for 3, 20, 30 and 300 dispatchers and budgets of 1 to 150 calls, each dispatcher with a job at all times (no_window_of_a_cold_worker_holds_more_than_its_budget_and_chance): where a part is less than a job, N rights are given out in each turn, and a window may lie over two turns: 201 calls of 176 allowed at 300 dispatchers and 150 calls. And nothing at all was sent where the budget is one to two calls a dispatcher (0 at 3 dispatchers and 4 calls): half of the part was less than a job.

Not covered: a call decided in a window whose connection comes up in the next (up to connect-timeout).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,11 +28,8 @@
 const UNEVEN_S: f64 = 20.0;
 /// Weight of the newest value in the running means; about the last twenty values count.
 const NEWEST: f64 = 0.1;
-/// The part of a cold worker's budget that is used: its slots and the jobs' lengths are estimates. All of it
-/// is given out where many dispatchers share one: few of those that may send in a window have a job for it
-/// then.
+/// The part of a cold worker's budget that is used: its slots and the jobs' lengths are estimates.
 const SURE: f64 = 0.5;
-const SURE_OF_MANY: f64 = 1.0;
 /// An odd number that spreads whatever it is multiplied with over the upper bits.
 const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
 /// A failing worker is first left alone for as long as a slow connect takes, twice as long each time.
@@ -627,22 +624,23 @@
         let warm = rules.cold_from + (1.0 - rules.cold_from) * age.secs() / rules.warm_up.secs();
         let (slots, window) = (self.fleet.slots(w).max(1.0), rules.tip_after);
         let bears = rules.overload_factor * warm * slots * window.secs();
-        let jobs = (bears * SURE_OF_MANY / self.mean_service).floor();
+        let jobs = (bears / self.mean_service).floor();
         let lately = worker.sent.iter().filter(|(at, _)| now - *at <= window);
         let sent: f64 = lately.map(|(_, cost)| cost).sum();
         if now - self.born < window {
             return false;
         }
-        if jobs >= self.dispatchers {
+        if jobs * SURE >= self.dispatchers {
             let part = bears * SURE / self.dispatchers;
             return sent + job.slots * self.expected(job) <= part;
         }
+        // A window may lie over two turns. So many rights twice are still budget and chance: N + 2 sqrt N.
+        let rights = jobs.min(jobs / 2.0 + jobs.sqrt()).max(1.0);
         let (id, dispatchers) = (worker.entry.worker.0, u64::from(self.settings.dispatchers));
         let epoch = (now.0 + id % window.0.max(1)) / window.0.max(1);
         let turn = (id ^ epoch).wrapping_mul(SPREAD) >> 32;
         let turn = (turn + u64::from(self.settings.index)) % dispatchers;
-        let parts = jobs.max(1.0) * dispatchers as f64 / self.dispatchers;
-        sent == 0.0 && (turn as f64) < parts
+        sent == 0.0 && (turn as f64) < rights * dispatchers as f64 / self.dispatchers
     }
 
     fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -321,6 +321,66 @@
     }
 }
 
+/// However many dispatchers there are, and wherever a window begins: all of them together send a cold worker no more than
+/// its budget of calls and what the rule puts down to chance, though each has a job for it at all times.
+#[test]
+fn no_window_of_a_cold_worker_holds_more_than_its_budget_and_chance() {
+    const STEP: u64 = SECOND / 40;
+    for dispatchers in [3, 20, 30, 300] {
+        for budget in [1, 2, 4, 8, 15, 20, 25, 29, 40, 60, 150] {
+            let mut s = large(Effect::Safe, dispatchers);
+            s.limits.probes = false;
+            // Factor 2, a quarter of 4 slots, one second: two slot-seconds, in so many jobs.
+            s.classes[0].aim = Micros(2 * SECOND / budget);
+            s.rules.cold_from = 0.25;
+            s.rules.warm_up = Micros(8000 * SECOND);
+            let start = 100 * SECOND;
+            let mut rigs: Vec<Rig> = (0..dispatchers)
+                .map(|index| {
+                    let mut rig = Rig::new(Settings { index, ..s.clone() }, 0);
+                    let cold = Entry {
+                        started: Some(Micros(start)),
+                        ..worker(7)
+                    };
+                    rig.at(start, Event::List(ListKind::Full, vec![cold]));
+                    rig
+                })
+                .collect();
+            let mut sends = Vec::new();
+            for step in 0..200 {
+                let now = start + step * STEP;
+                for rig in &mut rigs {
+                    rig.report(now, 7, 4.0);
+                    while sent(&rig.at(now, job_of(step, 0))).is_some() {
+                        rig.end(now, step, 0, WorkerId(7), Outcome::Cancelled);
+                        sends.push(now);
+                    }
+                }
+            }
+            let budget = budget as f64;
+            let most = budget + 2.0 * budget.sqrt() + 2.0;
+            let in_window = |from: u64| {
+                sends
+                    .iter()
+                    .filter(|at| (from..from + SECOND).contains(at))
+                    .count()
+            };
+            let fullest = sends.iter().map(|from| in_window(*from)).max();
+            let fullest = fullest.unwrap_or(0) as f64;
+            assert!(
+                fullest <= most,
+                "{dispatchers} dispatchers, {budget} calls: {fullest} in a window"
+            );
+            let mean = sends.len() as f64 / 5.0;
+            let few = f64::min(budget / 3.0, f64::from(dispatchers) / 2.0);
+            assert!(
+                mean >= few,
+                "{dispatchers} dispatchers, {budget} calls: {mean} in the mean"
+            );
+        }
+    }
+}
+
 /// A dispatcher that has just started has forgotten what it sent to a cold worker, so it waits a window.
 #[test]
 fn a_restarted_dispatcher_sends_a_cold_worker_nothing_at_first() {
