--- a/node/src/directory/clocks.rs
+++ b/node/src/directory/clocks.rs
@@ -13,11 +13,10 @@
 /// What a new directory has counts as told so long after the move (SIGHUP).
 pub const MOVED: Micros = Micros(4_000_000);
 
-/// How much longer than its wait a call may take: a directory works its calls off in turn, and fails those itself that
-/// have waited for long.
+/// How much longer than its wait a call may take: a directory works its calls off in turn. A watch that has been out for
+/// longer is one that the directory holds.
 const TURN: Micros = Micros(1_200_000);
-/// No directory lets a call wait for its turn for longer than this: one that has been out for longer was a watch that
-/// the directory held.
+/// How long a call in doubt may wait for its turn: longer than a directory lets any wait.
 const QUEUED: Micros = Micros(2 * TURN.0);
 /// A watch waits at most for so long: one that is silent from its first moment is asked after [`TURN`] more, and there
 /// is a whole call's time until the rule's clock runs out, with the drain's grace to spare.
@@ -26,8 +25,8 @@
 const SHORTEST: f64 = 0.5;
 /// How long a directory may take for the whole list once the node has moved to it: two tries fit into [`MOVED`].
 const WHOLE: Micros = Micros(2_000_000);
-/// The longest pause before a directory is asked once more that does not answer, drawn at random; it doubles with each
-/// failure, twice at most. None after a silent watch: its wait was drawn.
+/// The longest pause before a directory is asked once more that does not answer, drawn at random; it doubles once.
+/// None after a silent watch: its wait was drawn.
 const PAUSE: Micros = Micros(300_000);
 /// Where lists are pushed, what is there at the directory's return counts at once: so many tries fit into the grace.
 const TRIES_IN_GRACE: u64 = 4;
@@ -144,7 +143,7 @@
         let (asked, held) = match self.asked.take() {
             Some((asked, Call { ask, .. })) => {
                 let waits = matches!(ask, Ask::Changes { wait } if wait > Micros(0));
-                (asked, waits && now - asked > QUEUED)
+                (asked, waits && now - asked > TURN)
             }
             None => (now, false),
         };
@@ -173,7 +172,7 @@
             Fault::Broken if first => TURN,
             _ if self.moving => PAUSE,
             // Backoff: many callers are what keeps a directory from answering.
-            _ => Micros(PAUSE.0 << (self.failures.min(3) - 1)),
+            _ => Micros(PAUSE.0 << (self.failures.min(2) - 1)),
         };
         now + self.drawn(pause)
     }
--- a/node/tests/directory.rs
+++ b/node/tests/directory.rs
@@ -302,6 +302,23 @@
     assert_eq!(clocks.trusted_until(), Some(until));
 }
 
+/// A call that is refused after a short time may have waited for its turn since it was asked, and missed what came
+/// meanwhile; a watch that was held until the directory said no has missed nothing before that.
+#[test]
+fn a_refused_call_leaves_doubt_from_its_question_and_a_held_watch_from_its_end() {
+    for (out, since) in [(1.0, 0.0), (1.3, 1.3)] {
+        let mut clocks = Clocks::new(Micros(0), GRACE, false, 1);
+        clocks.ask(secs(10.0));
+        clocks.failed(secs(10.0 + out), Fault::Refused);
+        let until = secs(10.0 + since + 6.0) + GRACE;
+        assert_eq!(clocks.trusted_until(), Some(until), "out for {out} s");
+        // What fails after that is later: the first doubt counts.
+        clocks.ask(secs(12.0));
+        clocks.failed(secs(14.0), Fault::Refused);
+        assert_eq!(clocks.trusted_until(), Some(until), "out for {out} s");
+    }
+}
+
 /// One that refuses all calls with an answer could be reached: its list is given up when the rule says so, and trusted
 /// soon after it answers again.
 #[test]
