Bound the asking without a grace, and ask only about clients whose calls leave now

Read again: where lists are pushed and drain-grace-us is 0, an unanswered node asked anew without any pause (clocks.rs, a quarter of the grace): a quarter of it or 50 ms now; a_pushed_list_without_a_grace_is_not_asked_for_without_end fails without. Consumers::close_idle took connections off a listener that a successor shares: not there any more. Before each write-out the clients of all calls that wait for a connection were polled, hundreds of them where a zone is gone: now of those that leave. The last look repeated lines of Node::dispatch: it takes the hub's parts once.

--- a/node/src/consumers/mod.rs
+++ b/node/src/consumers/mod.rs
@@ -266,14 +266,8 @@
     }
 
     /// Looks which of the consumers of these invocations have gone.
-    pub fn look(
-        &mut self,
-        now: Micros,
-        ids: impl Iterator<Item = RequestId>,
-        net: &mut Net,
-        core: &mut Core,
-    ) {
-        let asked = ids.filter_map(|id| self.waiting.get(&id).copied());
+    pub fn look(&mut self, now: Micros, ids: Vec<RequestId>, net: &mut Net, core: &mut Core) {
+        let asked = ids.iter().filter_map(|id| self.waiting.get(id).copied());
         for token in net.ended(asked.collect()) {
             self.gone(now, token, net, core);
         }
@@ -480,8 +474,12 @@
     /// An answer given in this turn is still to be written.
     pub fn close_idle(&mut self, now: Micros, net: &mut Net) {
         let mut before = None;
-        // Those that wait were accepted by the system: closing the listener would reset them, with what they brought.
-        while self.resting.is_none() && before.replace(self.open.len()) != Some(self.open.len()) {
+        // Those that wait were accepted by the system: closing the listener would reset them, with what they brought. Not
+        // where a successor listens on the same socket: they are its own.
+        while !self.succeeded
+            && self.resting.is_none()
+            && before.replace(self.open.len()) != Some(self.open.len())
+        {
             self.accept(now, net);
         }
         net.close(self.listener);
--- a/node/src/directory/clocks.rs
+++ b/node/src/directory/clocks.rs
@@ -28,8 +28,10 @@
 /// The longest pause before a directory is asked once more that does not answer, drawn at random; it doubles once.
 /// None after a silent watch: its wait was drawn.
 const PAUSE: Micros = Micros(300_000);
-/// Where lists are pushed, what is there at the directory's return counts at once: so many tries fit into the grace.
+/// Where lists are pushed, what is there at the directory's return counts at once: so many tries fit into the grace. No
+/// more often than this, however short that is.
 const TRIES_IN_GRACE: u64 = 4;
+const SHORTEST_TRY: Micros = Micros(50_000);
 
 /// What to ask the directory for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -127,11 +129,15 @@
     /// would never be heard by a node that gave up before its turn and asked again at the end of the queue.
     fn patience(&self) -> Micros {
         match self.pushed && self.failures > 0 {
-            true => Micros(self.grace.0 / TRIES_IN_GRACE),
+            true => self.in_grace(),
             false => QUEUED,
         }
     }
 
+    fn in_grace(&self) -> Micros {
+        Micros(self.grace.0 / TRIES_IN_GRACE).max(SHORTEST_TRY)
+    }
+
     /// The list, or a part of it, has come.
     pub fn answered(&mut self) {
         (self.asked, self.deemed) = (None, None);
@@ -167,7 +173,7 @@
         });
         // A watch that broke is opened anew soon, and not in step with the others.
         let pause = match fault {
-            _ if self.pushed => Micros(self.grace.0 / TRIES_IN_GRACE),
+            _ if self.pushed => self.in_grace(),
             Fault::Silent if first => Micros(0),
             Fault::Broken if first => TURN,
             _ if self.moving => PAUSE,
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -668,7 +668,7 @@
     /// Carries out what the core wants done, writes it out and waits anew.
     fn settle(&mut self, now: Micros) {
         self.carry_out(now);
-        if self.hub.workers.is_about_to_send() {
+        if self.hub.workers.is_writing() {
             self.look_again();
         }
         let Hub {
@@ -682,27 +682,16 @@
     /// before: what forbids a call counts though it came after the call was decided. All bytes leave right after this.
     fn look_again(&mut self) {
         let now = self.clock.now();
-        self.hub.now = now;
-        let Hub {
-            net,
-            core,
-            directory,
-            fleet,
-            ..
-        } = &mut self.hub;
-        directory.wake(now, fleet, net, core);
-        if let Some(ready) = directory.awaited().and_then(|token| net.look(token)) {
-            directory.ready(now, ready.token, fleet, net, core);
-        }
-        let Hub {
-            net,
-            core,
-            workers,
-            fleet,
-            ..
-        } = &mut self.hub;
-        self.consumers.look(now, workers.unwritten(), net, core);
-        workers.withdraw(now, fleet, net, core);
+        let hub = &mut self.hub;
+        hub.now = now;
+        let (fleet, net, core) = (&mut hub.fleet, &mut hub.net, &mut hub.core);
+        hub.directory.wake(now, fleet, net, core);
+        if let Some(ready) = hub.directory.awaited().and_then(|token| net.look(token)) {
+            hub.directory.ready(now, ready.token, fleet, net, core);
+        }
+        let leaving = hub.workers.leaving(net);
+        self.consumers.look(now, leaving, net, core);
+        hub.workers.withdraw(now, fleet, net, core);
         // What becomes of their jobs is not left to the next turn.
         self.carry_out(now);
     }
--- a/node/src/workers/mod.rs
+++ b/node/src/workers/mod.rs
@@ -396,28 +396,28 @@
         });
     }
 
-    /// Whether the first byte of a call or probe may leave when all is written out next.
-    pub fn is_about_to_send(&self) -> bool {
+    /// Whether a call or probe has not wholly left.
+    pub fn is_writing(&self) -> bool {
         !self.writing.is_empty()
     }
 
-    /// The invocations of whose calls the last byte has not left.
-    pub fn unwritten(&self) -> impl Iterator<Item = RequestId> + '_ {
-        let links = self
-            .writing
-            .iter()
-            .filter_map(|token| self.links.get(token));
-        links.filter_map(|link| match link.errand {
+    /// The invocations of which a call leaves when all is written out next: its connection is up.
+    pub fn leaving(&self, net: &mut Net) -> Vec<RequestId> {
+        let up = |token: &&Token| net.get(**token).is_some_and(|conn| !conn.is_connecting());
+        let links = self.writing.iter().filter(up);
+        let links = links.filter_map(|token| self.links.get(token));
+        let calls = links.filter_map(|link| match link.errand {
             Errand::Call(id, _) if !link.written => Some(id),
             _ => None,
-        })
+        });
+        calls.collect()
     }
 
     /// Takes back what may no longer begin, at the last moment before its first byte leaves. A call begins with that
     /// byte for its worker, which must be as it was when the call was decided: not draining, gone, started anew, out by
     /// hand, or told by a list that is too old. So it does for its seats. For its invocation it begins with the last
-    /// byte: one that is over makes no further attempt, nor one whose effect allows none any more. What is taken back has never run, and shows nothing of its
-    /// worker.
+    /// byte: one that is over makes no further attempt, nor one whose effect allows none any more. What is taken back
+    /// has never run, and shows nothing of its worker.
     pub fn withdraw(&mut self, now: Micros, fleet: &Fleet, net: &mut Net, core: &mut Core) {
         let unseated = core.seated_until().is_some_and(|until| until <= now);
         let mut late = Vec::new();
--- a/node/tests/directory.rs
+++ b/node/tests/directory.rs
@@ -319,6 +319,19 @@
     }
 }
 
+/// A node whose site grants no grace asks on at a bounded pace.
+#[test]
+fn a_pushed_list_without_a_grace_is_not_asked_for_without_end() {
+    let mut clocks = Clocks::new(Micros(0), Micros(0), true, 1);
+    let mut now = Micros(0);
+    for _ in 0..200 {
+        clocks.ask(now);
+        let until = clocks.until().expect("asked");
+        now = clocks.failed(until, Fault::Silent);
+    }
+    assert!(now >= secs(9.0), "200 calls in {now:?}");
+}
+
 /// One that refuses all calls with an answer could be reached: its list is given up when the rule says so, and trusted
 /// soon after it answers again.
 #[test]
