Reproduce the drains of large fleets as failing tests, and log why calls are withdrawn

The logs did not say by which revision a call left, which client's request it was, nor why a call was withdrawn.

--- a/crates/node/src/core/validation.rs
+++ b/crates/node/src/core/validation.rs
@@ -81,13 +81,17 @@
         }
         let needs = self.check_capacity(now, class, tenant, &request.licences)?;
         let deadline = now + request.time_left;
+        let transaction_id = request.payload.transaction_id.clone();
         let id = self.table.insert(class, request.payload, deadline, needs);
         // After the attempts' timeouts, which let the dispatcher answer.
         self.timers
             .add(deadline + OVERDUE_AFTER, Timer::Deadline(id));
         self.counts.accepted += 1;
         let (ClassId(c), TenantId(t), left) = (class, tenant, request.time_left.0);
-        log::trace!("job {} class {c} tenant {t}: {left} us left", id.0);
+        log::trace!(
+            "job {} is {transaction_id:?} class {c} tenant {t}: {left} us left",
+            id.0
+        );
         self.pending.push_back(Event::JobReceived(Job {
             id,
             class,
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -130,6 +130,11 @@
         fleet.apply_list(now, WorkerListKind::Cached, change, core);
     }
 
+    /// The revision of the list that this node has.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// The connection on which an answer may come.
     pub fn awaited(&self) -> Option<Token> {
         self.call.as_ref().map(|call| call.token)
--- a/crates/node/src/node/commands.rs
+++ b/crates/node/src/node/commands.rs
@@ -34,6 +34,8 @@
                 .handle_event(now, ready.token, fleet, net, core);
         }
         let leaving = context.workers.requests_leaving(net);
+        let revision = context.discovery.revision();
+        log::trace!("{} calls may leave by revision {revision}", leaving.len());
         self.clients.drop_departed(now, leaving, net, core);
         context.workers.withdraw_stale(now, fleet, net, core);
         // What becomes of their jobs is not left to the next turn.
--- a/crates/node/src/workers/connection.rs
+++ b/crates/node/src/workers/connection.rs
@@ -5,6 +5,7 @@
 use crate::fleet::AttemptTarget;
 use crate::net::conn::Connection;
 use marbledeck_dispatcher::{Micros, Outcome, RequestId, WorkerId};
+use std::fmt;
 
 /// One attempt of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -30,6 +31,20 @@
     Idle,
 }
 
+impl fmt::Display for Purpose {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Purpose::Attempt(attempt) => {
+                write!(f, "call {}.{}", attempt.request.0, attempt.number)
+            }
+            Purpose::LoadProbe => f.write_str("load probe"),
+            Purpose::HealthCheck => f.write_str("health check"),
+            Purpose::Remainder => f.write_str("remainder"),
+            Purpose::Idle => f.write_str("idle"),
+        }
+    }
+}
+
 /// A connection to a worker.
 pub struct WorkerConnection {
     /// The worker at the other end.
@@ -93,6 +108,7 @@
         if let Some(request) = self.unwritten_attempt() {
             if !conn.is_connecting() && conn.output.is_empty() {
                 self.written = true;
+                log::trace!(target: super::LOG_TARGET, "{}: written", self.purpose);
                 core.handle_attempt_written(request);
             }
         }
--- a/crates/node/src/workers/mod.rs
+++ b/crates/node/src/workers/mod.rs
@@ -46,6 +46,19 @@
     pub submission_workers: HashSet<WorkerId>,
 }
 
+/// Why an attempt or probe was withdrawn before its first byte left.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+enum WithdrawalReason {
+    #[error("its time to be sent is over")]
+    TooLate,
+    #[error("its request is closed")]
+    RequestClosed,
+    #[error("its worker is not as it was when it was decided")]
+    WorkerChanged,
+    #[error("the licence seats are no longer valid")]
+    SeatsExpired,
+}
+
 /// A worker's load as it reported it last.
 #[derive(Clone, Copy, Debug)]
 pub struct LastReport {
@@ -288,20 +301,31 @@
             let (Some(connection), Some(conn)) = (self.pool.get(*token), net.get(*token)) else {
                 continue;
             };
+            let is_unsent = connection.is_unsent(conn);
             let target = connection.target.as_ref();
-            let target_valid = target.is_some_and(|target| fleet.is_current(target));
-            let is_stale = match connection.purpose {
+            let target_is_current = target.is_some_and(|target| fleet.is_current(target));
+            let reason = match connection.purpose {
                 Purpose::Attempt(AttemptId { request, .. }) if !connection.written => {
-                    let seatless = seats_expired && core.needs_seats(request);
                     let send_before = connection.send_before;
-                    let too_late = send_before.is_some_and(|deadline| deadline <= now);
-                    let may_not_begin = connection.is_unsent(conn) && (!target_valid || seatless);
-                    too_late || core.is_closed(request) || may_not_begin
+                    if send_before.is_some_and(|deadline| deadline <= now) {
+                        Some(WithdrawalReason::TooLate)
+                    } else if core.is_closed(request) {
+                        Some(WithdrawalReason::RequestClosed)
+                    } else if is_unsent && !target_is_current {
+                        Some(WithdrawalReason::WorkerChanged)
+                    } else if is_unsent && seats_expired && core.needs_seats(request) {
+                        Some(WithdrawalReason::SeatsExpired)
+                    } else {
+                        None
+                    }
+                }
+                Purpose::LoadProbe if is_unsent && !target_is_current => {
+                    Some(WithdrawalReason::WorkerChanged)
                 }
-                Purpose::LoadProbe => connection.is_unsent(conn) && !target_valid,
-                _ => false,
+                _ => None,
             };
-            if is_stale {
+            if let Some(reason) = reason {
+                log::debug!(target: LOG_TARGET, "{}: withdrawn: {reason}", connection.purpose);
                 stale.push(*token);
             }
         }
--- /dev/null
+++ b/crates/test-support/src/client.rs
@@ -0,0 +1,67 @@
+//! A client of the platform's front: one job at a time on a connection that is kept.
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// Far longer than any answer may take.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A client with its connection.
+pub struct JobClient {
+    stream: BufReader<TcpStream>,
+}
+
+impl JobClient {
+    /// Connects to a node.
+    ///
+    /// # Errors
+    /// The node takes no connection.
+    pub fn connect(address: &str) -> io::Result<Self> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+        let stream = BufReader::new(stream);
+        Ok(JobClient { stream })
+    }
+
+    /// Hands in a job of the class `preview`, and waits for its answer. Returns the status.
+    ///
+    /// # Errors
+    /// The connection ends before the answer does.
+    pub fn run(&mut self, txn: &str, remaining_ms: u64) -> io::Result<u16> {
+        let request = format!(
+            "POST /{txn} HTTP/1.1\r\nHost: n\r\nX-Txn: {txn}\r\nX-Lane: preview\r\nX-Org: au\r\n\
+             X-Remaining-Ms: {remaining_ms}\r\nContent-Length: 0\r\n\r\n"
+        );
+        self.stream.get_mut().write_all(request.as_bytes())?;
+        self.read_answer()
+    }
+
+    fn read_answer(&mut self) -> io::Result<u16> {
+        let mut line = String::new();
+        let (mut status, mut length) = (None, 0);
+        loop {
+            line.clear();
+            if self.stream.read_line(&mut line)? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            if status.is_none() {
+                status = line
+                    .split(' ')
+                    .nth(1)
+                    .and_then(|status| status.parse().ok());
+            }
+            let (name, value) = line.trim_end().split_once(':').unwrap_or_default();
+            if name.eq_ignore_ascii_case("Content-Length") {
+                length = value.trim().parse().unwrap_or(0);
+            }
+            if line == "\r\n" {
+                break;
+            }
+        }
+        let mut body = vec![0; length];
+        self.stream.read_exact(&mut body)?;
+        status.ok_or(io::ErrorKind::InvalidData.into())
+    }
+}
--- a/crates/test-support/src/environment.rs
+++ b/crates/test-support/src/environment.rs
@@ -35,6 +35,10 @@
     pub peers: Vec<SocketAddr>,
     /// How many of the workers discovery lists; all of them where none.
     pub listed_workers: Option<usize>,
+    /// The list in the node's file; that of discovery at the start of the process where none.
+    pub known: Option<serde_json::Value>,
+    /// The least important level that the node logs.
+    pub log_level: &'static str,
 }
 
 impl Default for EnvironmentOptions {
@@ -49,6 +53,8 @@
             operator_keys: String::new(),
             peers: Vec::new(),
             listed_workers: None,
+            known: None,
+            log_level: "info",
         }
     }
 }
@@ -89,6 +95,14 @@
     /// # Panics
     /// The node does not start.
     pub fn start(options: EnvironmentOptions) -> Self {
+        TestEnvironment::start_with(options, |_| {})
+    }
+
+    /// As [`TestEnvironment::start`], after discovery was prepared.
+    ///
+    /// # Panics
+    /// The node does not start.
+    pub fn start_with(options: EnvironmentOptions, prepare: impl FnOnce(&DiscoveryStub)) -> Self {
         static COUNT: AtomicU64 = AtomicU64::new(0);
         let number = COUNT.fetch_add(1, Ordering::SeqCst);
         let name = format!("marbledeck-test-support-{}-{number}", std::process::id());
@@ -103,6 +117,7 @@
         {
             discovery.set_worker(&worker.id, worker.address, "up");
         }
+        prepare(&discovery);
         let mut environment = TestEnvironment {
             discovery,
             workers,
@@ -148,10 +163,16 @@
             "tenants":[{{"name":"au","quota-per-s":{quota},"share":0.5}},
             {{"name":"sued","quota-per-s":{quota},"share":0.5}}]}}}}"#,
             self.discovery.address,
-            self.discovery.endpoint_list()
+            self.known_list()
         )
     }
 
+    /// The list in the node's file.
+    fn known_list(&self) -> serde_json::Value {
+        let known = self.options.known.clone();
+        known.unwrap_or_else(|| self.discovery.endpoint_list())
+    }
+
     fn spawn(&mut self) {
         self.started += 1;
         let config = self.folder.join("config.json");
@@ -170,6 +191,7 @@
             .env("LB_OPS", "127.0.0.1:0")
             .env("TMPDIR", &self.folder);
         command.env_remove("LB_NAME").env_remove("LB_DISCOVERY");
+        command.env("MARBLEDECK_LOG", self.options.log_level);
         command.arg("--site").arg(&site).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the node starts");
         let stderr = child.stderr.take().expect("piped");
@@ -197,6 +219,19 @@
         }
     }
 
+    /// Waits until a line of the log of any process holds this text. Returns what follows it.
+    ///
+    /// # Panics
+    /// There is none in time.
+    pub fn wait_for_log(&self, text: &str) -> String {
+        self.log.wait_for(0, text, TIMEOUT)
+    }
+
+    /// Whether a line of the log of any process holds this text.
+    pub fn has_logged(&self, text: &str) -> bool {
+        self.log.contains(text)
+    }
+
     /// What the node tells of its workers, a line each.
     pub fn members(&self) -> Vec<String> {
         use std::io::{Read, Write};
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod accept;
+mod client;
 mod cluster;
 mod discovery;
 mod environment;
@@ -13,11 +14,14 @@
 mod network_link;
 mod process_log;
 mod worker;
+mod worker_crowd;
 
+pub use client::JobClient;
 pub use cluster::{Cluster, ClusterNode, ClusterOptions};
-pub use discovery::DiscoveryStub;
+pub use discovery::{AnswerForm, Delivery, DiscoveryStub, ListedEndpoint};
 pub use environment::{binary, EnvironmentOptions, TestEnvironment};
 pub use eureka::{EurekaBehaviour, EurekaStub};
 pub use lossy_proxy::LossyProxy;
 pub use network_link::{LinkState, NetworkLink};
 pub use worker::{JobBehaviour, ReceivedJob, WorkerStub};
+pub use worker_crowd::{SeenRequest, WorkerCrowd};
