Give the splitting of JSON lists a crate of its own, which Eureka's client uses

Cause: discovery's lists need what Eureka's answers have: entries found as the bytes come, one held at a time. Change: crates/json-splitter finds the objects of one array and the scalars asked for; an element in one piece is not copied. Eureka's own splitter goes.

--- a/crates/eureka/src/answer.rs
+++ b/crates/eureka/src/answer.rs
@@ -1,9 +1,10 @@
 //! Reads a registry's answer as it comes: JSON or XML, plain or gzip.
 
 use crate::error::{AnswerError, MalformedAnswer};
-use crate::json_splitter::{self, Found};
-use crate::{instance_json, instance_xml, xml_splitter, Instance};
+use crate::xml_splitter::{self, Found};
+use crate::{instance_json, instance_xml, Instance};
 use flate2::write::GzDecoder;
+use marbledeck_json_splitter::{Part, SplitError};
 use std::io::Write;
 
 /// The most bytes of an answer, unpacked: four times what 10,000 instances take.
@@ -13,6 +14,11 @@
 /// The most instances of an answer.
 const MAX_INSTANCES: usize = 65_536;
 
+/// The key of instances in JSON.
+const INSTANCES_KEY: &str = "instance";
+/// The key of the hash code in JSON.
+const HASH_KEY: &str = "apps__hashcode";
+
 /// The format of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerFormat {
@@ -41,7 +47,7 @@
 }
 
 enum Splitter {
-    Json(json_splitter::Splitter),
+    Json(marbledeck_json_splitter::Splitter),
     Xml(xml_splitter::Splitter),
 }
 
@@ -58,7 +64,11 @@
     pub fn new(format: AnswerFormat, encoding: Encoding) -> Self {
         AnswerReader {
             splitter: match format {
-                AnswerFormat::Json => Splitter::Json(json_splitter::Splitter::default()),
+                AnswerFormat::Json => Splitter::Json(marbledeck_json_splitter::Splitter::new(
+                    INSTANCES_KEY,
+                    &[HASH_KEY],
+                    MAX_INSTANCE,
+                )),
                 AnswerFormat::Xml => Splitter::Xml(xml_splitter::Splitter::default()),
             },
             gzip: (encoding == Encoding::Gzip).then(|| GzDecoder::new(Vec::new())),
@@ -101,10 +111,16 @@
             return Err(AnswerError::TooLong);
         }
         let mut parts = Vec::new();
-        let found = |part: Found| parts.push(part);
         match &mut self.splitter {
-            Splitter::Json(splitter) => splitter.push(bytes, MAX_INSTANCE, found)?,
-            Splitter::Xml(splitter) => splitter.push(bytes, MAX_INSTANCE, found)?,
+            Splitter::Json(splitter) => {
+                splitter.push(bytes, &mut |part: Part| -> Result<(), SplitError> {
+                    parts.extend(from_json(part));
+                    Ok(())
+                })?;
+            }
+            Splitter::Xml(splitter) => {
+                splitter.push(bytes, MAX_INSTANCE, |part: Found| parts.push(part))?;
+            }
         }
         let mut items = Vec::with_capacity(parts.len());
         for part in parts {
@@ -151,3 +167,16 @@
         }
     }
 }
+
+/// What a part of an answer in JSON is, where it is of interest.
+fn from_json(part: Part) -> Option<Found> {
+    match part {
+        Part::Element(bytes) => Some(Found::Instance(bytes.to_vec())),
+        Part::Scalar {
+            is_string: true,
+            text,
+            ..
+        } => Some(Found::Hash(String::from_utf8_lossy(text).into_owned())),
+        Part::Scalar { .. } | Part::UnexpectedScalar => None,
+    }
+}
--- a/crates/eureka/src/error.rs
+++ b/crates/eureka/src/error.rs
@@ -1,5 +1,6 @@
 //! What is wrong with a registry's answer.
 
+use marbledeck_json_splitter::SplitError;
 use thiserror::Error;
 
 /// What is wrong with an answer.
@@ -77,3 +78,15 @@
         }
     }
 }
+
+impl From<SplitError> for AnswerError {
+    fn from(error: SplitError) -> Self {
+        match error {
+            SplitError::TooDeep => AnswerError::TooDeep,
+            SplitError::ElementTooLong => AnswerError::TooLong,
+            SplitError::NotJson => MalformedAnswer::NotJson.into(),
+            SplitError::SeveralValues => MalformedAnswer::SeveralValues.into(),
+            SplitError::UnmatchedBrackets => MalformedAnswer::UnmatchedBrackets.into(),
+        }
+    }
+}
--- a/crates/eureka/src/lib.rs
+++ b/crates/eureka/src/lib.rs
@@ -11,7 +11,6 @@
 mod instance;
 mod instance_json;
 mod instance_xml;
-mod json_splitter;
 mod lease;
 mod poll;
 mod xml_splitter;
--- a/crates/eureka/src/xml_splitter.rs
+++ b/crates/eureka/src/xml_splitter.rs
@@ -2,7 +2,6 @@
 //! sends, document types above all, is refused: entities are not to be had.
 
 use crate::error::{AnswerError, MalformedAnswer};
-use crate::json_splitter::Found;
 
 const MAX_DEPTH: usize = 64;
 /// The longest tag.
@@ -10,6 +9,14 @@
 /// The longest code that is of interest.
 const MAX_TEXT: usize = 4096;
 
+/// A part that was found.
+pub(crate) enum Found {
+    /// All bytes of an instance.
+    Instance(Vec<u8>),
+    /// The hash code of all that the registry holds.
+    Hash(String),
+}
+
 #[derive(Default, PartialEq, Eq)]
 enum State {
     #[default]
--- /dev/null
+++ b/crates/json-splitter/src/byte_class.rs
@@ -0,0 +1,47 @@
+//! What each byte is outside of strings.
+
+/// What a byte is outside of strings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ByteClass {
+    /// Has no meaning for the nesting: white space, numbers, words, `:` and `,`.
+    Plain,
+    /// Begins or ends a string.
+    Quote,
+    OpenBrace,
+    OpenBracket,
+    CloseBrace,
+    CloseBracket,
+    /// No JSON outside of strings.
+    Invalid,
+}
+
+/// The class of each byte.
+pub(crate) const CLASSES: [ByteClass; 256] = classes();
+
+const fn classes() -> [ByteClass; 256] {
+    let mut classes = [ByteClass::Invalid; 256];
+    let mut byte = 0;
+    while byte < classes.len() {
+        classes[byte] = class(byte as u8);
+        byte += 1;
+    }
+    classes
+}
+
+const fn class(byte: u8) -> ByteClass {
+    match byte {
+        b'"' => ByteClass::Quote,
+        b'{' => ByteClass::OpenBrace,
+        b'[' => ByteClass::OpenBracket,
+        b'}' => ByteClass::CloseBrace,
+        b']' => ByteClass::CloseBracket,
+        b' ' | b'\t' | b'\r' | b'\n' | b':' | b',' => ByteClass::Plain,
+        _ if is_in_word(byte) => ByteClass::Plain,
+        _ => ByteClass::Invalid,
+    }
+}
+
+/// Whether a byte belongs to a number or word.
+pub(crate) const fn is_in_word(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || matches!(byte, b'+' | b'-' | b'.')
+}
--- /dev/null
+++ b/crates/json-splitter/src/element.rs
@@ -0,0 +1,93 @@
+//! Finds the end of one element, however its bytes are cut.
+
+use crate::byte_class::{ByteClass, CLASSES};
+use crate::SplitError;
+
+/// Reads one element. Where it lies in one piece, none of its bytes is copied.
+#[derive(Default)]
+pub(crate) struct ElementScanner {
+    in_string: bool,
+    escaped: bool,
+    /// How many braces and brackets are open.
+    depth: usize,
+    /// Which of them are braces: the innermost has the lowest bit.
+    braces: u64,
+    /// The bytes of earlier pieces.
+    kept: Vec<u8>,
+    /// How many bytes were scanned.
+    scanned: usize,
+}
+
+impl ElementScanner {
+    /// How many bytes of it have come.
+    pub fn length(&self) -> usize {
+        self.scanned
+    }
+
+    /// Scans the next piece. Returns where the element ends in it, if it does.
+    pub fn scan(&mut self, bytes: &[u8], max_depth: usize) -> Result<Option<usize>, SplitError> {
+        for (position, byte) in bytes.iter().enumerate() {
+            if self.in_string {
+                self.scan_in_string(*byte);
+                continue;
+            }
+            match CLASSES[usize::from(*byte)] {
+                ByteClass::Plain => {}
+                ByteClass::Quote => self.in_string = true,
+                ByteClass::OpenBrace => self.open(true, max_depth)?,
+                ByteClass::OpenBracket => self.open(false, max_depth)?,
+                ByteClass::CloseBrace => self.close(true)?,
+                ByteClass::CloseBracket => self.close(false)?,
+                ByteClass::Invalid => return Err(SplitError::NotJson),
+            }
+            if self.depth == 0 {
+                self.scanned += position + 1;
+                return Ok(Some(position + 1));
+            }
+        }
+        self.scanned += bytes.len();
+        Ok(None)
+    }
+
+    fn scan_in_string(&mut self, byte: u8) {
+        if self.escaped {
+            self.escaped = false;
+        } else if byte == b'\\' {
+            self.escaped = true;
+        } else if byte == b'"' {
+            self.in_string = false;
+        }
+    }
+
+    fn open(&mut self, is_brace: bool, max_depth: usize) -> Result<(), SplitError> {
+        if self.depth >= max_depth {
+            return Err(SplitError::TooDeep);
+        }
+        self.depth += 1;
+        self.braces = self.braces << 1 | u64::from(is_brace);
+        Ok(())
+    }
+
+    fn close(&mut self, is_brace: bool) -> Result<(), SplitError> {
+        if self.braces & 1 != u64::from(is_brace) {
+            return Err(SplitError::UnmatchedBrackets);
+        }
+        self.depth -= 1;
+        self.braces >>= 1;
+        Ok(())
+    }
+
+    /// Keeps a piece in which the element does not end.
+    pub fn keep(&mut self, bytes: &[u8]) {
+        self.kept.extend_from_slice(bytes);
+    }
+
+    /// All bytes of the element, of which these are the last.
+    pub fn complete<'a>(&'a mut self, last: &'a [u8]) -> &'a [u8] {
+        if self.kept.is_empty() {
+            return last;
+        }
+        self.kept.extend_from_slice(last);
+        &self.kept
+    }
+}
