--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -16,7 +16,13 @@
 #[derive(Default)]
 pub(crate) struct Fleet {
     /// In order of id, so that nothing depends on a hash.
-    pub workers: Vec<Worker>,
+    #[expect(
+        clippy::vec_box,
+        reason = "a new worker is put before thousands of others: pointers move, not workers"
+    )]
+    pub workers: Vec<Box<Worker>>,
+    /// How many of them are removed.
+    removed: usize,
     pub kinds: BTreeMap<KindId, KindStatistics>,
     /// Positions of the workers that lately reported or were sent to: as many as the jobs brought,
     /// not the fleet.
@@ -26,57 +32,101 @@
 impl Fleet {
     /// The position of a worker.
     pub fn position(&self, worker: WorkerId) -> Option<usize> {
-        let id = |w: &Worker| w.entry.worker;
-        self.workers.binary_search_by_key(&worker, id).ok()
+        self.search(worker).ok()
     }
 
-    /// The worker of this id, new where it is not known.
-    fn get_or_insert(&mut self, id: WorkerId) -> &mut Worker {
-        let position = self.workers.partition_point(|w| w.entry.worker < id);
-        let known = self.workers.get(position);
-        if known.is_none_or(|w| w.entry.worker != id) {
-            self.workers.insert(position, Worker::default());
-        }
-        &mut self.workers[position]
+    /// The position of a worker, or where it would be put in.
+    fn search(&self, id: WorkerId) -> Result<usize, usize> {
+        let workers = &self.workers;
+        workers.binary_search_by(|worker| worker.entry.worker.cmp(&id))
     }
 
-    /// Takes a complete list, or the entries that have changed.
-    pub fn apply_list(&mut self, kind: WorkerListKind, entries: Vec<WorkerEntry>) {
+    /// Takes a complete list, or the entries that have changed: work in proportion to these.
+    pub fn apply_list(&mut self, kind: WorkerListKind, mut entries: Vec<WorkerEntry>) {
+        let reporting = self.reporting_ids();
         if kind != WorkerListKind::Delta {
             // What a complete list omits is removed.
-            for worker in &mut self.workers {
-                worker.entry.state = WorkerState::Removed;
+            for w in 0..self.workers.len() {
+                let entry = self.workers[w].entry.clone();
+                let state = WorkerState::Removed;
+                self.set_entry(w, WorkerEntry { state, ..entry });
             }
         }
+        // In the order of the workers, new ones are seldom put before many others; of several entries for one worker
+        // the last counts.
+        entries.sort_by_key(|entry| entry.worker);
         for entry in entries {
-            let worker = self.get_or_insert(entry.worker);
-            if worker.entry.started_at != entry.started_at {
-                worker.reset_after_restart();
-            }
-            worker.entry = entry;
+            self.apply_entry(entry);
         }
-        self.rebuild();
+        self.drop_idle_removed();
+        self.find_reporting(&reporting);
     }
 
-    /// Drops the workers that are removed and have nothing in flight, and counts the others.
-    fn rebuild(&mut self) {
-        self.workers
-            .retain(|w| w.entry.state != WorkerState::Removed || w.slots_in_flight > 0.0);
-        for kind in self.kinds.values_mut() {
-            kind.ready = 0.0;
-        }
-        self.recently_reporting.clear();
-        for (w, worker) in self.workers.iter().enumerate() {
-            let kind = self.kinds.entry(worker.entry.kind).or_default();
-            if worker.entry.state == WorkerState::Ready {
-                kind.ready += 1.0;
+    fn apply_entry(&mut self, entry: WorkerEntry) {
+        match self.search(entry.worker) {
+            Ok(w) => {
+                if self.workers[w].entry.started_at != entry.started_at {
+                    self.workers[w].reset_after_restart();
+                }
+                self.set_entry(w, entry);
             }
-            if worker.recently_reporting {
-                self.recently_reporting.push(w);
+            Err(_) if entry.state == WorkerState::Removed => {}
+            Err(w) => {
+                self.count_ready(&entry, 1.0);
+                let worker = Worker {
+                    entry,
+                    ..Worker::default()
+                };
+                self.workers.insert(w, Box::new(worker));
             }
         }
     }
 
+    /// Sets what the list says of a worker.
+    fn set_entry(&mut self, w: usize, entry: WorkerEntry) {
+        let is_removed = |entry: &WorkerEntry| usize::from(entry.state == WorkerState::Removed);
+        self.removed += is_removed(&entry);
+        self.count_ready(&entry, 1.0);
+        let old = std::mem::replace(&mut self.workers[w].entry, entry);
+        self.removed -= is_removed(&old);
+        self.count_ready(&old, -1.0);
+    }
+
+    /// Counts a worker among the ready ones of its kind, if it is, or no longer.
+    fn count_ready(&mut self, entry: &WorkerEntry, change: f64) {
+        let kind = self.kinds.entry(entry.kind).or_default();
+        if entry.state == WorkerState::Ready {
+            kind.ready += change;
+        }
+    }
+
+    /// Drops the workers that are removed and have nothing in flight.
+    fn drop_idle_removed(&mut self) {
+        if self.removed == 0 {
+            return;
+        }
+        let is_kept = |worker: &Worker| {
+            worker.entry.state != WorkerState::Removed || worker.slots_in_flight > 0.0
+        };
+        let before = self.workers.len();
+        self.workers.retain(|worker| is_kept(worker));
+        self.removed -= before - self.workers.len();
+    }
+
+    /// The workers that lately reported or were sent to.
+    fn reporting_ids(&self) -> Vec<WorkerId> {
+        let reporting = self.recently_reporting.iter();
+        reporting.map(|&w| self[w].entry.worker).collect()
+    }
+
+    /// Finds these workers anew, as far as they are still there, in the order of their positions.
+    fn find_reporting(&mut self, reporting: &[WorkerId]) {
+        let found = reporting.iter().filter_map(|id| self.position(*id));
+        let mut found: Vec<usize> = found.collect();
+        found.sort_unstable();
+        self.recently_reporting = found;
+    }
+
     /// The ready workers of this kind, or of any, and their slots.
     pub fn ready_capacity(&self, only: Option<KindId>) -> ReadyCapacity {
         let mut capacity = ReadyCapacity::default();
@@ -109,8 +159,9 @@
     pub fn forget_reports(&mut self, is_stale: impl Fn(&Worker) -> bool) {
         let workers = &mut self.workers;
         self.recently_reporting.retain(|&w| {
-            workers[w].recently_reporting = !is_stale(&workers[w]);
-            workers[w].recently_reporting
+            let worker = &mut workers[w];
+            worker.recently_reporting = !is_stale(worker);
+            worker.recently_reporting
         });
     }
 }
--- a/crates/dispatcher/src/policy/selection.rs
+++ b/crates/dispatcher/src/policy/selection.rs
@@ -59,6 +59,14 @@
         if sampled.is_some() {
             return sampled;
         }
+        if self
+            .fleet
+            .ready_capacity(self.class(&request.job).kind)
+            .workers
+            == 0.0
+        {
+            return None; // No walk over thousands of workers that all drain.
+        }
         let all = 0..self.fleet.workers.len();
         let eligible = all.filter(|&w| self.is_eligible(now, request, w));
         let (outliers, healthy): (Vec<_>, Vec<_>) =
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -29,11 +29,12 @@
 mod self_preservation;
 mod source;
 mod source_report;
+mod streamed_list;
 mod view;
 
 pub use change::MembershipChange;
 pub use membership::{Endpoint, Membership};
 pub use self_preservation::{HealthEvidence, SelfPreservation};
-pub use source::SourceId;
+pub use source::{EntryDigest, SourceId};
 pub use source_report::{SourceReport, Status};
 pub use view::{SourceStatus, WorkerView};
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -24,6 +24,14 @@
     pub endpoint: Option<Endpoint>,
 }
 
+/// A source's report that a worker listens at an address.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct AddressClaim {
+    pub source: SourceId,
+    /// The worker's id.
+    pub id: String,
+}
+
 /// The merged fleet.
 #[derive(Debug)]
 pub struct Membership {
@@ -36,8 +44,8 @@
     /// What was published, by the workers' ids.
     pub(crate) published: BTreeMap<String, PublishedWorker>,
     pub(crate) id_by_worker: HashMap<WorkerId, String>,
-    /// The ids of the workers at each address.
-    pub(crate) ids_by_address: HashMap<SocketAddr, BTreeSet<String>>,
+    /// Who reports which worker at each address, in the order of precedence: the first worker owns it.
+    pub(crate) claims_by_address: HashMap<SocketAddr, BTreeSet<AddressClaim>>,
     /// When suspected workers and sources are looked at.
     pub(crate) due_checks: BTreeSet<DueCheck>,
     /// Suspected workers that are to be probed.
@@ -56,7 +64,7 @@
             out_of_service: BTreeSet::new(),
             published: BTreeMap::new(),
             id_by_worker: HashMap::new(),
-            ids_by_address: HashMap::new(),
+            claims_by_address: HashMap::new(),
             due_checks: BTreeSet::new(),
             due_probes: Vec::new(),
             alive_at: HashMap::new(),
@@ -140,6 +148,11 @@
         self.published.get(id).map(|worker| worker.entry.clone())
     }
 
+    /// How many workers a source names.
+    pub fn named_by(&self, source: SourceId) -> usize {
+        self.sources[source.0].records.len()
+    }
+
     /// The report on a worker of the first source that names it.
     pub fn report(&self, id: &str) -> Option<&SourceReport> {
         let mut records = self.records(id);
@@ -153,10 +166,12 @@
     }
 
     /// Each source's record of a worker, in the order of the sources.
-    pub(crate) fn records(&self, id: &str) -> impl Iterator<Item = (SourceId, &SourceRecord)> {
-        let id = id.to_owned();
+    pub(crate) fn records<'a, 'i>(
+        &'a self,
+        id: &'i str,
+    ) -> impl Iterator<Item = (SourceId, &'a SourceRecord)> + use<'a, 'i> {
         self.sources_by_id()
-            .filter_map(move |(source_id, source)| Some((source_id, source.records.get(&id)?)))
+            .filter_map(move |(source_id, source)| Some((source_id, source.records.get(id)?)))
     }
 
     /// How many workers are named by a source.
--- a/crates/membership/src/precedence.rs
+++ b/crates/membership/src/precedence.rs
@@ -4,25 +4,58 @@
 use crate::{Membership, SourceId, Status};
 use marbledeck_dispatcher::{CellId, Micros};
 use std::cmp::Reverse;
+use std::fmt;
 use std::net::SocketAddr;
 
 /// What all reports on a worker come to.
 #[derive(Debug)]
-pub(crate) struct MergedReport {
+pub(crate) struct MergedReport<'a> {
     pub address: Option<SocketAddr>,
-    pub zone: String,
-    pub kind: String,
+    pub zone: &'a str,
+    pub kind: &'a str,
     pub cell: Option<CellId>,
     pub started_at: Option<Micros>,
-    /// Why no new work may go there, for people; none where it may.
-    pub out_reason: Option<String>,
+    /// Why no new work may go there; none where it may.
+    pub out_reason: Option<OutReason<'a>>,
+}
+
+/// Why no new work may go to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OutReason<'a> {
+    ByHand,
+    /// A source reports another status than up.
+    Reported {
+        source: &'a str,
+        status: Status,
+    },
+    /// A source's list is not new enough to send by.
+    ListTooOld {
+        source: &'a str,
+    },
+    NoAddress,
+    /// Another worker has its address, and takes precedence.
+    AddressTaken {
+        owner: &'a str,
+    },
+}
+
+impl fmt::Display for OutReason<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            OutReason::ByHand => f.write_str("out by hand"),
+            OutReason::Reported { source, status } => write!(f, "{source} says {status}"),
+            OutReason::ListTooOld { source } => write!(f, "{source}'s list is too old"),
+            OutReason::NoAddress => f.write_str("it has no address"),
+            OutReason::AddressTaken { owner } => write!(f, "{owner} has its address"),
+        }
+    }
 }
 
 type Records<'a> = [(SourceId, &'a SourceRecord)];
 
 impl Membership {
     /// What all reports on a worker come to; none where no source names it.
-    pub(crate) fn merged(&self, id: &str) -> Option<MergedReport> {
+    pub(crate) fn merged(&self, id: &str) -> Option<MergedReport<'_>> {
         let records: Vec<(SourceId, &SourceRecord)> = self.records(id).collect();
         let (_, first) = records.first()?;
         let address = merged_address(&records);
@@ -41,44 +74,40 @@
     }
 
     /// Why no new work may go to a worker: the first of these that holds.
-    fn out_reason(
-        &self,
+    fn out_reason<'a>(
+        &'a self,
         id: &str,
         records: &Records,
         address: Option<SocketAddr>,
-    ) -> Option<String> {
-        let name = |source: &SourceId| &self.sources[source.0].name;
+    ) -> Option<OutReason<'a>> {
         if self.out_of_service.contains(id) {
-            return Some("out by hand".to_owned());
+            return Some(OutReason::ByHand);
         }
         let mut reports = records.iter();
         let not_up = reports.find(|(_, record)| record.report.status != Status::Up);
         if let Some((source, record)) = not_up {
-            return Some(format!("{} says {}", name(source), record.report.status));
+            let source = &self.sources[source.0].name;
+            let status = record.report.status;
+            return Some(OutReason::Reported { source, status });
         }
-        let mut sources = records.iter().map(|(source, _)| source);
-        if let Some(source) = sources.find(|source| !self.sources[source.0].is_trusted) {
-            return Some(format!("{}'s list is too old", name(source)));
+        let mut sources = records
+            .iter()
+            .map(|(source, record)| (&self.sources[source.0], record));
+        if let Some((source, _)) = sources.find(|(source, record)| !source.trusts(record)) {
+            let source = &source.name;
+            return Some(OutReason::ListTooOld { source });
         }
         let Some(address) = address else {
-            return Some("it has no address".to_owned());
+            return Some(OutReason::NoAddress);
         };
         let owner = self.address_owner(address, id)?;
-        Some(format!("{owner} has its address"))
+        Some(OutReason::AddressTaken { owner })
     }
 
     /// Who else has this address, and takes precedence over this one: the earlier source's, then the lesser id.
     fn address_owner(&self, address: SocketAddr, id: &str) -> Option<&str> {
-        let rank = |id: &str| {
-            let mut records = self.records(id);
-            let here = records.find(|(_, record)| record.report.address == Some(address));
-            here.map(|(source, _)| source)
-        };
-        let own = (rank(id)?, id);
-        let ids = self.ids_by_address.get(&address)?.iter();
-        let ranked = ids.filter_map(|other| Some((rank(other)?, other.as_str())));
-        let first = ranked.filter(|other| *other < own).min();
-        first.map(|(_, other)| other)
+        let first = self.claims_by_address.get(&address)?.first()?;
+        Some(first.id.as_str()).filter(|owner| *owner != id)
     }
 }
 
@@ -93,10 +122,7 @@
 }
 
 /// The first name that a source gives.
-fn first_name(records: &Records, name: fn(&SourceRecord) -> &String) -> String {
-    let mut names = records.iter().map(|(_, record)| name(record));
-    names
-        .find(|name| !name.is_empty())
-        .cloned()
-        .unwrap_or_default()
+fn first_name<'a>(records: &Records<'a>, name: fn(&SourceRecord) -> &String) -> &'a str {
+    let mut names = records.iter().map(|(_, record)| name(record).as_str());
+    names.find(|name| !name.is_empty()).unwrap_or_default()
 }
--- a/crates/membership/src/publish.rs
+++ b/crates/membership/src/publish.rs
@@ -1,10 +1,9 @@
 //! From the merged reports to what is published to the decision module.
 
-use crate::membership::PublishedWorker;
+use crate::membership::{AddressClaim, PublishedWorker};
 use crate::precedence::MergedReport;
-use crate::source::Source;
-use crate::{Endpoint, Membership, MembershipChange, SourceId};
-use marbledeck_dispatcher::{KindId, WorkerEntry, WorkerId, WorkerState, ZoneId};
+use crate::{Endpoint, Membership, MembershipChange};
+use marbledeck_dispatcher::{KindId, Micros, WorkerEntry, WorkerId, WorkerState, ZoneId};
 use marbledeck_platform_settings::worker_id;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -17,24 +16,25 @@
             return self.unpublish(id, worker, change);
         };
         let entry = self.merged_entry(worker, &merged);
-        let endpoint = merged.address.map(|address| Endpoint {
-            name: id.to_owned(),
-            address,
-            started_at: merged.started_at,
-        });
-        let old = self.published.get(id);
-        let has_moved = |old: &PublishedWorker| old.endpoint.is_some() && old.endpoint != endpoint;
-        if old.is_some_and(has_moved) {
-            change.stale_workers.push(worker);
-        }
-        if old.is_none_or(|old| old.entry != entry) {
+        let (address, started_at) = (merged.address, merged.started_at);
+        let Some(published) = self.published.get_mut(id) else {
             change.entries.push(entry.clone());
-        }
-        if old.is_none() {
             self.id_by_worker.insert(worker, id.to_owned());
+            let endpoint = new_endpoint(id, address, started_at);
+            let published = PublishedWorker { entry, endpoint };
+            self.published.insert(id.to_owned(), published);
+            return;
+        };
+        if !published.listens_at(address, started_at) {
+            if published.endpoint.is_some() {
+                change.stale_workers.push(worker);
+            }
+            published.endpoint = new_endpoint(id, address, started_at);
+        }
+        if published.entry != entry {
+            change.entries.push(entry.clone());
+            published.entry = entry;
         }
-        let published = PublishedWorker { entry, endpoint };
-        self.published.insert(id.to_owned(), published);
     }
 
     fn merged_entry(&self, worker: WorkerId, merged: &MergedReport) -> WorkerEntry {
@@ -45,8 +45,8 @@
         WorkerEntry {
             worker,
             state,
-            zone: ZoneId(position(&self.zones, &merged.zone)),
-            kind: KindId(position(&self.kinds, &merged.kind)),
+            zone: ZoneId(position(&self.zones, merged.zone)),
+            kind: KindId(position(&self.kinds, merged.kind)),
             cell: merged.cell,
             started_at: merged.started_at,
         }
@@ -66,49 +66,84 @@
         });
     }
 
-    /// An id no longer has an address, unless another source says that it has.
-    pub(crate) fn release_address(&mut self, address: SocketAddr, id: &str, source: SourceId) {
-        let reports_address = |other: &Source| {
-            let record = other.records.get(id);
-            record.is_some_and(|record| record.report.address == Some(address))
+    /// Enters that a source reports a worker at an address.
+    pub(crate) fn claim_address(&mut self, address: SocketAddr, claim: AddressClaim) -> Owners {
+        let claims = self.claims_by_address.entry(address).or_default();
+        let before = first_id(claims);
+        claims.insert(claim);
+        // Where nobody claimed it before, only the worker itself does now.
+        let after = before.as_ref().and_then(|_| first_id(claims));
+        Owners { before, after }
+    }
+
+    /// A source no longer reports a worker at an address.
+    pub(crate) fn release_address(&mut self, address: SocketAddr, claim: &AddressClaim) -> Owners {
+        let Some(claims) = self.claims_by_address.get_mut(&address) else {
+            return Owners::default();
         };
-        let is_other = |(other, _): &(SourceId, &Source)| *other != source;
-        let mut others = self.sources_by_id().filter(is_other);
-        let is_still_reported = others.any(|(_, other)| reports_address(other));
-        drop(others);
-        if is_still_reported {
-            return;
+        claims.remove(claim);
+        let after = first_id(claims);
+        if claims.is_empty() {
+            self.claims_by_address.remove(&address);
         }
-        if let Some(ids) = self.ids_by_address.get_mut(&address) {
-            ids.remove(id);
-            if ids.is_empty() {
-                self.ids_by_address.remove(&address);
-            }
+        // The worker itself owned it before, or the one that still does.
+        Owners {
+            before: None,
+            after,
         }
     }
 
-    /// Computes the others anew who share the addresses that this one has, or had.
-    pub(crate) fn recompute_address_sharers(
+    /// Computes those anew that own an address now, or did, beside a worker whose report of it has changed. The others
+    /// there own it neither before nor after.
+    pub(crate) fn recompute_owners(
         &mut self,
         id: &str,
-        had: Option<SocketAddr>,
+        owners: Owners,
         change: &mut MembershipChange,
     ) {
-        let reported = self
-            .records(id)
-            .filter_map(|(_, record)| record.report.address);
-        let addresses: BTreeSet<SocketAddr> = reported.chain(had).collect();
-        for address in addresses {
-            let sharers = self.ids_by_address.get(&address).cloned();
-            for sharer in sharers.unwrap_or_default() {
-                if sharer != id {
-                    self.recompute(&sharer, change);
-                }
+        for owner in [owners.before, owners.after].into_iter().flatten() {
+            if owner != id {
+                self.recompute(&owner, change);
+            }
+        }
+    }
+}
+
+fn first_id(claims: &BTreeSet<AddressClaim>) -> Option<String> {
+    claims.first().map(|claim| claim.id.clone())
+}
+
+/// The other workers that owned an address before a claim has changed, and that do after.
+#[derive(Debug, Default)]
+pub(crate) struct Owners {
+    before: Option<String>,
+    after: Option<String>,
+}
+
+impl PublishedWorker {
+    fn listens_at(&self, address: Option<SocketAddr>, started_at: Option<Micros>) -> bool {
+        match (&self.endpoint, address) {
+            (Some(endpoint), Some(address)) => {
+                endpoint.address == address && endpoint.started_at == started_at
             }
+            (None, None) => true,
+            _ => false,
         }
     }
 }
 
+fn new_endpoint(
+    id: &str,
+    address: Option<SocketAddr>,
+    started_at: Option<Micros>,
+) -> Option<Endpoint> {
+    address.map(|address| Endpoint {
+        name: id.to_owned(),
+        address,
+        started_at,
+    })
+}
+
 fn position(names: &[String], name: &str) -> u32 {
     let found = names.iter().position(|known| known == name);
     found.map_or(u32::MAX, |position| position as u32)
--- a/crates/membership/src/reports.rs
+++ b/crates/membership/src/reports.rs
@@ -1,10 +1,10 @@
 //! How the reports of sources are taken in: single ones, whole lists, and lists in parts.
 
+use crate::membership::AddressClaim;
+use crate::publish::Owners;
 use crate::source::SourceRecord;
-use crate::{Membership, MembershipChange, SourceId, SourceReport, Status};
-use marbledeck_dispatcher::{Micros, WorkerEntry, WorkerId};
-use marbledeck_platform_settings::worker_id;
-use std::collections::BTreeSet;
+use crate::{EntryDigest, Membership, MembershipChange, SourceId, SourceReport, Status};
+use marbledeck_dispatcher::Micros;
 use std::ops::Bound::{Excluded, Unbounded};
 
 impl Membership {
@@ -17,7 +17,7 @@
     ) -> MembershipChange {
         let mut change = MembershipChange::default();
         self.record_contact(now, source);
-        self.record_report(now, source, report, &mut change);
+        self.record_report(now, source, report, None, &mut change);
         change
     }
 
@@ -76,7 +76,7 @@
             if record.is_some_and(is_repeated) {
                 continue;
             }
-            self.record_report(now, source, report, &mut change);
+            self.record_report(now, source, report, None, &mut change);
         }
         change
     }
@@ -93,72 +93,20 @@
         let mut change = MembershipChange::default();
         let list_number = self.sources[source.0].list_number;
         let from = after.map_or(Unbounded, Excluded);
-        let records = self.sources[source.0]
-            .records
-            .range::<str, _>((from, Unbounded));
-        let is_missing = |record: &SourceRecord| record.list_number != list_number;
-        let looked_at: Vec<(String, bool)> = records
-            .take(max)
-            .map(|(id, record)| (id.clone(), is_missing(record)))
-            .collect();
-        let last = looked_at.last().filter(|_| looked_at.len() == max);
-        let next = last.map(|(id, _)| id.clone());
-        for (id, _) in looked_at.iter().filter(|(_, missing)| *missing) {
-            self.record_missing(now, source, id, false, &mut change);
-        }
-        (change, next)
-    }
-
-    /// Takes a list in discovery's form: reports in their order, each with whether the worker is removed; the complete
-    /// list, or those that have changed. Tells every entry that the decision module is to hear, whether it has changed
-    /// or not.
-    pub fn apply_discovery_list(
-        &mut self,
-        now: Micros,
-        source: SourceId,
-        complete: bool,
-        reports: Vec<(SourceReport, bool)>,
-    ) -> MembershipChange {
-        let mut change = MembershipChange::default();
-        let mut entries = Vec::with_capacity(reports.len());
-        self.record_contact(now, source);
-        if complete {
-            self.begin_full_list(source);
-        }
-        for (report, removed) in reports {
-            let id = report.id.clone();
-            if removed {
-                self.record_missing(now, source, &id, true, &mut change);
-            } else {
-                self.record_report(now, source, report, &mut change);
+        let records = &self.sources[source.0].records;
+        let looked_at = records.range::<str, _>((from, Unbounded)).take(max);
+        let (mut count, mut last, mut missing) = (0, None, Vec::new());
+        for (id, record) in looked_at {
+            (count, last) = (count + 1, Some(id));
+            if record.list_number != list_number {
+                missing.push(id.clone());
             }
-            // The last of what has changed is this one, where it is removed.
-            let mut latest = change.entries.iter().rev();
-            let last = latest.find(|entry| entry.worker == worker_id(&id));
-            entries.extend(self.entry(&id).or(last.cloned()));
         }
-        let others = if complete {
-            change.append(self.sweep_missing(now, source, None, usize::MAX).0);
-            self.entries()
-        } else {
-            // Others may have changed with these: who shares an address.
-            change.entries
-        };
-        extend_with_unnamed(&mut entries, others);
-        change.entries = entries;
-        change
-    }
-
-    /// Whether a source's reports are new enough to send by. Where they are not, all workers that it names count as
-    /// draining: which of them do cannot be known.
-    pub fn set_trusted(&mut self, source: SourceId, trusted: bool) -> MembershipChange {
-        let mut change = MembershipChange::default();
-        self.sources[source.0].is_trusted = trusted;
-        let named: Vec<String> = self.sources[source.0].records.keys().cloned().collect();
-        for id in named {
-            self.recompute(&id, &mut change);
+        let next = last.filter(|_| count == max).cloned();
+        for id in &missing {
+            self.record_missing(now, source, id, false, &mut change);
         }
-        change
+        (change, next)
     }
 
     /// Takes a worker out of service, or back, whatever any source has reported or will report of it meanwhile.
@@ -175,41 +123,105 @@
         change
     }
 
-    fn record_report(
+    pub(crate) fn record_report(
         &mut self,
         now: Micros,
         source: SourceId,
-        report: SourceReport,
+        mut report: SourceReport,
+        digest: Option<EntryDigest>,
         change: &mut MembershipChange,
     ) {
-        let id = report.id.clone();
-        let list_number = self.sources[source.0].list_number;
-        let records = &mut self.sources[source.0].records;
-        let known = records.get(&id).map(|record| &record.report);
-        if let Some(newer) = known.filter(|known| known.version > report.version) {
+        let reporting = &mut self.sources[source.0];
+        let list_number = reporting.list_number;
+        let known = reporting.records.get_mut(&report.id);
+        let Some(known) = known else {
+            return self.add_report(now, source, report, digest, change);
+        };
+        if known.report.version > report.version {
             // An earlier answer: what is known is newer. The worker is named all the same.
-            let record = SourceRecord::new(newer.clone(), now, list_number);
-            records.insert(id.clone(), record);
-            return self.recompute(&id, change);
+            report = known.report.clone();
         }
-        let known_address = known.map(|known| known.address);
-        let moved_from = known_address.filter(|address| *address != report.address);
-        let moved_from = moved_from.flatten();
-        if let Some(address) = moved_from {
-            self.release_address(address, &id, source);
+        let is_repeated = known.report == report;
+        let old_digest = std::mem::replace(&mut known.digest, digest);
+        let had_address = known.report.address;
+        known.report = report;
+        let id = known.report.id.clone();
+        let has_address = known.report.address;
+        reporting.replace_digest(&id, old_digest, digest);
+        let was_trusted = self.note_named(now, source, &id, list_number);
+        if is_repeated && was_trusted {
+            return;
         }
+        let claim = |id: &str| AddressClaim {
+            source,
+            id: id.to_owned(),
+        };
+        let (mut old_owners, mut new_owners) = (Owners::default(), Owners::default());
+        if had_address != has_address {
+            if let Some(address) = had_address {
+                old_owners = self.release_address(address, &claim(&id));
+            }
+            if let Some(address) = has_address {
+                new_owners = self.claim_address(address, claim(&id));
+            }
+        }
+        self.recompute(&id, change);
+        self.recompute_owners(&id, old_owners, change);
+        self.recompute_owners(&id, new_owners, change);
+    }
+
+    /// Takes a source's first report on a worker.
+    fn add_report(
+        &mut self,
+        now: Micros,
+        source: SourceId,
+        report: SourceReport,
+        digest: Option<EntryDigest>,
+        change: &mut MembershipChange,
+    ) {
+        let id = report.id.clone();
+        let mut owners = Owners::default();
         if let Some(address) = report.address {
-            let ids = self.ids_by_address.entry(address).or_default();
-            ids.insert(id.clone());
+            let id = id.clone();
+            owners = self.claim_address(address, AddressClaim { source, id });
         }
-        let record = SourceRecord::new(report, now, list_number);
-        self.sources[source.0].records.insert(id.clone(), record);
+        let reporting = &mut self.sources[source.0];
+        reporting.replace_digest(&id, None, digest);
+        let record = SourceRecord {
+            report,
+            reported_at: now,
+            suspicion: None,
+            list_number: reporting.list_number,
+            digest,
+        };
+        reporting.records.insert(id.clone(), record);
         self.recompute(&id, change);
-        self.recompute_address_sharers(&id, moved_from, change);
+        self.recompute_owners(&id, owners, change);
+    }
+
+    /// Notes that a list of a source names a worker. Returns whether the worker was to be sent to by this source's word
+    /// before.
+    pub(crate) fn note_named(
+        &mut self,
+        now: Micros,
+        source: SourceId,
+        id: &str,
+        list_number: u64,
+    ) -> bool {
+        let naming = &mut self.sources[source.0];
+        let trusted_from_list = naming.trusted_from_list;
+        let Some(record) = naming.records.get_mut(id) else {
+            return false;
+        };
+        let was_trusted = record.list_number >= trusted_from_list;
+        record.list_number = list_number;
+        record.reported_at = now;
+        record.suspicion = None;
+        was_trusted
     }
 
     /// A source no longer names a worker.
-    fn record_missing(
+    pub(crate) fn record_missing(
         &mut self,
         now: Micros,
         source: SourceId,
@@ -235,22 +247,17 @@
         id: &str,
         change: &mut MembershipChange,
     ) {
-        let Some(record) = self.sources[source.0].records.remove(id) else {
+        let dropping = &mut self.sources[source.0];
+        let Some(record) = dropping.records.remove(id) else {
             return;
         };
+        dropping.replace_digest(id, record.digest, None);
+        let mut owners = Owners::default();
         if let Some(address) = record.report.address {
-            self.release_address(address, id, source);
+            let id = id.to_owned();
+            owners = self.release_address(address, &AddressClaim { source, id });
         }
         self.recompute(id, change);
-        self.recompute_address_sharers(id, record.report.address, change);
+        self.recompute_owners(id, owners, change);
     }
 }
-
-/// Adds those of the entries whose workers are not yet among them.
-fn extend_with_unnamed(entries: &mut Vec<WorkerEntry>, others: Vec<WorkerEntry>) {
-    let named: BTreeSet<WorkerId> = entries.iter().map(|entry| entry.worker).collect();
-    let unnamed = others
-        .into_iter()
-        .filter(|entry| !named.contains(&entry.worker));
-    entries.extend(unnamed);
-}
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -3,12 +3,16 @@
 use crate::self_preservation::{ProbeWindow, SelfPreservation, Suspicion};
 use crate::SourceReport;
 use marbledeck_dispatcher::Micros;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// A source, in the order in which they were added: the earlier one takes precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SourceId(pub usize);
 
+/// A digest of the text of a list's entry: a source that names a worker by the same text again reports nothing new.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct EntryDigest(pub u64);
+
 /// A source's report on a worker, and how it stands.
 #[derive(Clone, Debug)]
 pub(crate) struct SourceRecord {
@@ -19,17 +23,8 @@
     pub suspicion: Option<Suspicion>,
     /// The list that named it last.
     pub list_number: u64,
-}
-
-impl SourceRecord {
-    pub fn new(report: SourceReport, reported_at: Micros, list_number: u64) -> Self {
-        SourceRecord {
-            report,
-            reported_at,
-            suspicion: None,
-            list_number,
-        }
-    }
+    /// The digest of the text that the report was read from, where the source gives one.
+    pub digest: Option<EntryDigest>,
 }
 
 /// A source, and all that it reports.
@@ -46,8 +41,10 @@
     pub probe_window: ProbeWindow,
     /// The list that is being read: records of an earlier one are missing in it.
     pub list_number: u64,
-    /// Its reports are new enough to send by.
-    pub is_trusted: bool,
+    /// Reports of an earlier list are not new enough to send by.
+    pub trusted_from_list: u64,
+    /// The ids of the workers, by the digests of the texts that their reports were read from.
+    pub ids_by_digest: HashMap<EntryDigest, String>,
 }
 
 impl Source {
@@ -60,7 +57,26 @@
             silent_at: None,
             probe_window: ProbeWindow::default(),
             list_number: 0,
-            is_trusted: true,
+            trusted_from_list: 0,
+            ids_by_digest: HashMap::new(),
+        }
+    }
+
+    /// Whether a report is new enough to send by.
+    pub fn trusts(&self, record: &SourceRecord) -> bool {
+        record.list_number >= self.trusted_from_list
+    }
+
+    /// Enters the digest of a worker's text, in the place of an earlier one.
+    pub fn replace_digest(&mut self, id: &str, old: Option<EntryDigest>, new: Option<EntryDigest>) {
+        if old == new {
+            return;
+        }
+        if let Some(old) = old {
+            self.ids_by_digest.remove(&old);
+        }
+        if let Some(new) = new {
+            self.ids_by_digest.insert(new, id.to_owned());
         }
     }
 }
--- /dev/null
+++ b/crates/membership/src/streamed_list.rs
@@ -0,0 +1,79 @@
+//! Lists that are taken in as their bytes come, entry by entry, by a node that may have to act before they are complete.
+//!
+//! Each list of a source has a number, and each report that of the list that named it last. A source whose list may be
+//! outdated is trusted only for what lists from some number on have named.
+
+use crate::{EntryDigest, Membership, MembershipChange, SourceId, SourceReport};
+use marbledeck_dispatcher::Micros;
+
+impl Membership {
+    /// The number of the list that was begun last.
+    pub fn list_number(&self, source: SourceId) -> u64 {
+        self.sources[source.0].list_number
+    }
+
+    /// The list that was begun names a worker by a text of this digest. Where its last report was read from the same
+    /// text, that stands, and the result is true; else the text has to be read, for
+    /// [`Membership::apply_listed_report`].
+    pub fn confirm_listed(
+        &mut self,
+        now: Micros,
+        source: SourceId,
+        digest: EntryDigest,
+        change: &mut MembershipChange,
+    ) -> bool {
+        let naming = &self.sources[source.0];
+        let list_number = naming.list_number;
+        let Some(id) = naming.ids_by_digest.get(&digest).cloned() else {
+            return false;
+        };
+        if !self.note_named(now, source, &id, list_number) {
+            self.recompute(&id, change);
+        }
+        true
+    }
+
+    /// The list that was begun reports on a worker, in a text of this digest where it is known.
+    pub fn apply_listed_report(
+        &mut self,
+        now: Micros,
+        source: SourceId,
+        report: SourceReport,
+        digest: Option<EntryDigest>,
+        change: &mut MembershipChange,
+    ) {
+        self.record_report(now, source, report, digest, change);
+    }
+
+    /// The list that was begun says that a worker has left.
+    pub fn apply_listed_removal(
+        &mut self,
+        now: Micros,
+        source: SourceId,
+        id: &str,
+        change: &mut MembershipChange,
+    ) {
+        self.record_missing(now, source, id, true, change);
+    }
+
+    /// The number of the first list that is new enough to send by; 0 where all are.
+    pub fn trusted_from_list(&self, source: SourceId) -> u64 {
+        self.sources[source.0].trusted_from_list
+    }
+
+    /// From now on, only reports of the list of this number and of later ones are new enough to send by. All others
+    /// count as draining: which of them do cannot be known. Every report is where the number is 0.
+    pub fn set_trusted_from_list(&mut self, source: SourceId, number: u64) -> MembershipChange {
+        let mut change = MembershipChange::default();
+        let trusting = &mut self.sources[source.0];
+        let old = std::mem::replace(&mut trusting.trusted_from_list, number);
+        let records = trusting.records.iter();
+        let affected = records
+            .filter(|(_, record)| (record.list_number >= old) != (record.list_number >= number));
+        let ids: Vec<String> = affected.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            self.recompute(&id, &mut change);
+        }
+        change
+    }
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -55,7 +55,7 @@
             Some(MergedReport {
                 out_reason: Some(reason),
                 ..
-            }) => (WorkerState::Draining, reason.clone()),
+            }) => (WorkerState::Draining, reason.to_string()),
             Some(_) => (WorkerState::Ready, in_service()),
         };
         WorkerView {
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -2,23 +2,37 @@
 //! fleet.
 
 mod endpoint_list;
+mod list_reader;
+mod list_trust;
+mod list_update;
 mod staleness;
 
 pub use endpoint_list::{entries_of_other_sources, into_reports, EndpointEntry, EndpointList};
+pub use list_reader::{ListError, ListHeader, ListReader};
+pub use list_trust::ListTrust;
+pub use list_update::MAX_WORKERS;
 pub use staleness::{Fault, PlannedCall, Query, StalenessTracker};
 
 use crate::core::Core;
 use crate::fleet::Fleet;
+use crate::net::conn::Connection;
 use crate::net::http::{self, Body};
 use crate::net::{Net, Peer, Token};
-use marbledeck_dispatcher::{Micros, WorkerListKind};
+use list_trust::SEND_MARGIN;
+use list_update::ListUpdate;
+use marbledeck_dispatcher::Micros;
 use marbledeck_membership::{Membership, MembershipChange, SourceId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use std::hash::RandomState;
 use std::io;
 use std::net::SocketAddr;
 
 const HTTP_OK: u16 = 200;
+/// The most bytes of a list: none of them is held, and a call that takes too long is given up.
+const MAX_LIST_BYTES: usize = 32 * 1024 * 1024;
+/// A wait that took longer was no glance at what had come before.
+const MIN_SLEEP: Micros = Micros(5_000);
 
 /// What a successor can start from.
 #[derive(Debug, Default, Serialize, Deserialize)]
@@ -37,9 +51,18 @@
 struct Call {
     token: Token,
     sent_at: Micros,
-    /// The answer's head, and what is still to come of its body.
+    /// What has come of its answer; none where nothing has.
+    answer: Option<Answer>,
+}
+
+/// An answer that has begun.
+struct Answer {
+    /// The number of its list.
+    list_number: u64,
+    began_at: Micros,
+    /// Its head, and what is still to come of its body.
     head: Option<(http::ResponseHead, Body)>,
-    content: Vec<u8>,
+    list: ListReader,
 }
 
 /// A call that has failed.
@@ -57,6 +80,15 @@
     }
 }
 
+/// What a wait for events has shown of the connection to discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitFinding {
+    /// Nothing has come there.
+    Nothing,
+    /// Something has, or may have: there were more events than one wait reports.
+    Something,
+}
+
 /// The client of discovery.
 pub struct Discovery {
     address: SocketAddr,
@@ -67,15 +99,27 @@
     staleness: StalenessTracker,
     /// When the next call is due, while there is none.
     next_call: Option<Micros>,
+    /// Which lists may be sent by.
+    trust: ListTrust,
     /// The list is too old: its workers count as draining.
     is_distrusted: bool,
+    /// At this moment nothing that had come from discovery was unread.
+    quiet_at: Micros,
+    digest_key: RandomState,
+    /// The bytes of a body that were taken out of a message; empty between two events, kept for its allocation.
+    content: Vec<u8>,
     /// An open connection between two calls.
     idle: Option<Token>,
 }
 
 impl Discovery {
     /// Watches discovery at this address, which is this source of the fleet.
-    pub fn new(address: SocketAddr, source: SourceId, staleness: StalenessTracker) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        source: SourceId,
+        staleness: StalenessTracker,
+        trust: ListTrust,
+    ) -> Self {
         Discovery {
             address,
             source,
@@ -84,7 +128,11 @@
             staleness,
             // At once, whatever the settings call the way of the lists.
             next_call: Some(Micros(0)),
+            trust,
             is_distrusted: false,
+            quiet_at: Micros(0),
+            digest_key: RandomState::new(),
+            content: Vec::new(),
             idle: None,
         }
     }
@@ -98,7 +146,11 @@
             self.revision
         };
         let endpoints = members.reports(self.source).map(EndpointEntry::from);
-        let notified_at = self.staleness.doubt_for_successor();
+        let mut notified_at = self.staleness.doubt_for_successor();
+        if self.trust.is_behind() {
+            // What discovery has written, and this process has not read, counts as notified already.
+            notified_at = Some(now);
+        }
         DiscoveryState {
             out_of_service: members.out_of_service().clone(),
             list: EndpointList {
@@ -112,8 +164,11 @@
 
     /// Takes over the doubt of the process that this one replaces.
     pub fn inherit_doubt(&mut self, now: Micros, notified_in_us: Option<u64>) {
-        if let Some(notified_in) = notified_in_us {
-            self.staleness.inherit_doubt(now + Micros(notified_in));
+        match notified_in_us {
+            None => {}
+            // Nobody knows for how long it has: the list is of no use before the first answer.
+            Some(0) => self.staleness.inherit_doubt(Micros(0)),
+            Some(notified_in) => self.staleness.inherit_doubt(now + Micros(notified_in)),
         }
     }
 
@@ -126,8 +181,13 @@
         core: &mut Core,
     ) {
         self.revision = list.revision;
-        let change = self.update_membership(now, true, list.endpoints, fleet);
-        fleet.apply_list(now, WorkerListKind::Cached, change, core);
+        fleet.members.begin_full_list(self.source);
+        let mut update = self.update(now, fleet);
+        for entry in list.endpoints.into_iter().take(MAX_WORKERS) {
+            update.apply_entry(entry, None);
+        }
+        let change = update.change;
+        fleet.apply_change(now, change, core);
     }
 
     /// The revision of the list that this node has.
@@ -142,32 +202,76 @@
 
     /// When [`Discovery::wake`] is next wanted.
     pub fn next_wake(&self) -> Option<Micros> {
+        let call = self.staleness.call_deadline().or(self.next_call);
+        let expiry = self.trust.next_expiry();
+        [call, self.distrusted_at(), expiry]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// When the list becomes too old to send by, unless discovery answers before.
+    fn distrusted_at(&self) -> Option<Micros> {
         let trusted_until = self.staleness.trusted_until();
         let trusted_until = trusted_until.filter(|_| !self.is_distrusted);
-        let call = self.staleness.call_deadline().or(self.next_call);
-        call.into_iter().chain(trusted_until).min()
+        trusted_until.map(|trusted_until| trusted_until - SEND_MARGIN)
+    }
+
+    /// The loop has waited for events from one moment to the other, and `found` tells what it has heard of the awaited
+    /// connection.
+    pub fn note_wait(&mut self, from: Micros, to: Micros, found: WaitFinding) {
+        // What ends a sleep has come just now; what was there when the loop began to wait may have come since it last
+        // looked.
+        if found == WaitFinding::Nothing || to - from > MIN_SLEEP {
+            self.quiet_at = to;
+        }
     }
 
     /// Stops trusting a list that is too old, gives up a silent call, and makes the next call when it is due.
     pub fn wake(&mut self, now: Micros, fleet: &mut Fleet, net: &mut Net, core: &mut Core) {
         let is_due = |due: Option<Micros>| due.is_some_and(|due| due <= now);
-        if is_due(self.staleness.trusted_until()) && !self.is_distrusted {
-            self.is_distrusted = true;
-            log::warn!(
-                "directory: the list is too old to send by; nothing new goes to its workers"
-            );
-            let change = fleet.members.set_trusted(self.source, false);
-            fleet.apply_change(now, change, core);
-        }
+        self.limit_trust(now, fleet, core);
         match self.call {
             Some(_) if is_due(self.staleness.call_deadline()) => {
                 self.handle_failure(now, Fault::Silent, "no answer in time", net);
+                self.limit_trust(now, fleet, core);
             }
             None if is_due(self.next_call) => self.watch(now, net),
             _ => {}
         }
     }
 
+    /// Sees to it that nothing is sent by a list that discovery may have outdated.
+    fn limit_trust(&mut self, now: Micros, fleet: &mut Fleet, core: &mut Core) {
+        if let Some(since) = self.trust.expire(now) {
+            let ms = since.0 / 1000;
+            log::warn!(
+                "directory: an answer that began {ms} ms ago is not complete in time; the workers that it has not \
+                 named get nothing new"
+            );
+        }
+        if self.distrusted_at().is_some_and(|due| due <= now) {
+            self.is_distrusted = true;
+            log::warn!(
+                "directory: the list is too old to send by; nothing new goes to its workers"
+            );
+        }
+        if self.is_distrusted {
+            let list_number = fleet.members.list_number(self.source);
+            // What an answer names that is just being read is newer than all that is in doubt.
+            let is_answering = self.call.as_ref().is_some_and(|call| call.answer.is_some());
+            let names_current = is_answering && !self.staleness.lists_are_pushed();
+            self.trust.limit(list_number + u64::from(!names_current));
+        }
+        let trusted_from = self.trust.trusted_from();
+        if trusted_from > fleet.members.trusted_from_list(self.source) {
+            let change = fleet
+                .members
+                .set_trusted_from_list(self.source, trusted_from);
+            fleet.apply_change(now, change, core);
+        }
+    }
+
     /// Moves to another discovery service at once: the old one may be about to end. The list stays until the new one
     /// has sent its own, complete, since its revisions may be others.
     pub fn move_to(&mut self, now: Micros, address: SocketAddr, net: &mut Net) {
@@ -211,8 +315,7 @@
         self.call = Some(Call {
             token,
             sent_at: now,
-            head: None,
-            content: Vec::new(),
+            answer: None,
         });
         if !net.write(token, request.as_bytes()) {
             self.handle_failure(now, Fault::Refused, "the request does not fit", net);
@@ -245,48 +348,57 @@
             self.idle = self.idle.filter(|idle| *idle != token);
             return net.close(token);
         }
-        match self.read(token, net) {
+        let Some(conn) = net.get(token) else {
+            return;
+        };
+        if conn.input.is_empty() && !conn.eof && !conn.broken {
+            self.quiet_at = now;
+            return;
+        }
+        match self.read(now, token, fleet, net, core) {
             Ok(None) => {}
-            Ok(Some(list)) => {
-                self.apply_list(now, list, fleet, core);
+            Ok(Some(header)) => {
+                self.complete_list(now, header, fleet, core);
                 // A watch goes on only where the next call comes soon after the answer: now.
                 self.watch(now, net);
             }
-            Err(error) => self.handle_failure(now, error.fault, &error.message, net),
+            Err(error) => {
+                self.handle_failure(now, error.fault, &error.message, net);
+                self.limit_trust(now, fleet, core);
+            }
         }
     }
 
-    /// The list, once it has come completely.
-    fn read(&mut self, token: Token, net: &mut Net) -> Result<Option<EndpointList>, CallError> {
-        let (Some(call), Some(conn)) = (&mut self.call, net.get(token)) else {
+    /// Reads what has come of the answer, and takes it in. Returns what the list says of itself, once it is complete.
+    fn read(
+        &mut self,
+        now: Micros,
+        token: Token,
+        fleet: &mut Fleet,
+        net: &mut Net,
+        core: &mut Core,
+    ) -> Result<Option<ListHeader>, CallError> {
+        let Some(conn) = net.get(token) else {
             return Ok(None);
         };
-        if call.head.is_none() {
-            let head = http::response_head(conn.input.all()).map_err(CallError::broken)?;
-            if let Some((head, length)) = head {
-                conn.input.consume(length);
-                if head.status != HTTP_OK {
-                    return Err(CallError {
-                        fault: Fault::Refused,
-                        message: format!("status {}", head.status),
-                    });
-                }
-                let body = Body::of_response(&head).map_err(CallError::broken)?;
-                call.head = Some((head, body));
-            }
+        if !conn.input.is_empty() {
+            self.note_progress(now, fleet);
+            self.read_head(conn)?;
         }
-        if let Some((head, body)) = &mut call.head {
-            let taken = body.take(conn.input.all(), &mut call.content);
-            conn.input.consume(taken.map_err(CallError::broken)?);
+        let taken = self.take_content(conn);
+        self.apply_content(now, fleet, core)?;
+        taken?;
+        let answer = self.call.as_ref().and_then(|call| call.answer.as_ref());
+        if let Some((answer, (head, body))) = answer.and_then(|a| Some((a, a.head.as_ref()?))) {
             if body.is_done() || conn.eof && body.ends_with_connection() {
                 let is_reusable = head.keep_alive && conn.is_open() && conn.input.is_empty();
-                let list = serde_json::from_slice(&call.content).map_err(CallError::broken)?;
+                let header = answer.list.finish().map_err(CallError::broken)?;
                 if is_reusable {
                     self.idle = Some(token);
                 } else {
                     net.close(token);
                 }
-                return Ok(Some(list));
+                return Ok(Some(header));
             }
         }
         if !conn.eof && !conn.broken {
@@ -301,27 +413,127 @@
         }
     }
 
-    fn apply_list(&mut self, now: Micros, list: EndpointList, fleet: &mut Fleet, core: &mut Core) {
+    /// Bytes of the answer have come.
+    fn note_progress(&mut self, now: Micros, fleet: &mut Fleet) {
+        let Some(call) = &mut self.call else {
+            return;
+        };
+        self.staleness.handle_progress(now);
+        if call.answer.is_some() {
+            return;
+        }
+        fleet.members.begin_full_list(self.source);
+        let list_number = fleet.members.list_number(self.source);
+        let began_at = self.quiet_at.max(call.sent_at);
+        self.trust.begin_answer(list_number, began_at);
+        call.answer = Some(Answer {
+            list_number,
+            began_at,
+            head: None,
+            list: ListReader::default(),
+        });
+    }
+
+    /// Reads the answer's head, where it has not been read and has come completely.
+    fn read_head(&mut self, conn: &mut Connection) -> Result<(), CallError> {
+        let answer = self.call.as_mut().and_then(|call| call.answer.as_mut());
+        let Some(answer) = answer.filter(|answer| answer.head.is_none()) else {
+            return Ok(());
+        };
+        let head = http::response_head(conn.input.all()).map_err(CallError::broken)?;
+        let Some((head, length)) = head else {
+            return Ok(());
+        };
+        conn.input.consume(length);
+        if head.status != HTTP_OK {
+            self.trust.cancel_answer(answer.list_number);
+            return Err(CallError {
+                fault: Fault::Refused,
+                message: format!("status {}", head.status),
+            });
+        }
+        self.staleness.handle_answer_begun(answer.began_at);
+        let body = Body::of_long_response(&head, MAX_LIST_BYTES).map_err(CallError::broken)?;
+        answer.head = Some((head, body));
+        Ok(())
+    }
+
+    /// Takes the bytes of the list out of the message.
+    fn take_content(&mut self, conn: &mut Connection) -> Result<(), CallError> {
+        let answer = self.call.as_mut().and_then(|call| call.answer.as_mut());
+        if let Some((_, body)) = answer.and_then(|answer| answer.head.as_mut()) {
+            let taken = body.take(conn.input.all(), &mut self.content);
+            conn.input.consume(taken.map_err(CallError::broken)?);
+        }
+        Ok(())
+    }
+
+    /// Takes in the entries that have come completely; those before a fault count.
+    fn apply_content(
+        &mut self,
+        now: Micros,
+        fleet: &mut Fleet,
+        core: &mut Core,
+    ) -> Result<(), CallError> {
+        let content = std::mem::take(&mut self.content);
+        let Some(mut answer) = self.call.as_mut().and_then(|call| call.answer.take()) else {
+            return Ok(());
+        };
+        let mut update = self.update(now, fleet);
+        let pushed = answer.list.push(&content, &mut |text| update.apply(text));
+        let change = update.change;
+        fleet.apply_change(now, change, core);
+        if let Some(call) = &mut self.call {
+            call.answer = Some(answer);
+        }
+        self.content = content;
+        self.content.clear();
+        pushed.map_err(CallError::broken)
+    }
+
+    fn update<'a>(&'a self, now: Micros, fleet: &'a mut Fleet) -> ListUpdate<'a> {
+        ListUpdate {
+            now,
+            source: self.source,
+            digest_key: &self.digest_key,
+            members: &mut fleet.members,
+            change: MembershipChange::default(),
+        }
+    }
+
+    /// The list has come completely: all that it says was taken in entry by entry.
+    fn complete_list(
+        &mut self,
+        now: Micros,
+        header: ListHeader,
+        fleet: &mut Fleet,
+        core: &mut Core,
+    ) {
         let sent_at = self.call.take().map_or(now, |call| call.sent_at);
-        let (endpoints, revision) = (list.endpoints.len(), list.revision);
+        let ListHeader {
+            revision, entries, ..
+        } = header;
         log::debug!(
-            "directory: revision {revision}, {endpoints} lines, after {} us",
+            "directory: revision {revision}, {entries} lines, after {} us",
             (now - sent_at).0
         );
         self.revision = revision;
         self.staleness.handle_answer();
-        let kind = if list.complete {
-            WorkerListKind::Full
-        } else {
-            WorkerListKind::Delta
-        };
-        let mut change = self.update_membership(now, list.complete, list.endpoints, fleet);
+        let mut change = MembershipChange::default();
+        if header.is_complete {
+            let all = usize::MAX;
+            let (missing, _) = fleet.members.sweep_missing(now, self.source, None, all);
+            change.append(missing);
+        }
         // After what is new: only those that are still named are trusted again.
         if std::mem::take(&mut self.is_distrusted) {
             log::info!("directory: the list is trusted again");
-            change.append(fleet.members.set_trusted(self.source, true));
         }
-        fleet.apply_list(now, kind, change, core);
+        if self.trust.complete_answer() {
+            let trusted = fleet.members.set_trusted_from_list(self.source, 0);
+            change.append(trusted);
+        }
+        fleet.apply_change(now, change, core);
     }
 
     /// The call has failed: the list stays, and is asked for again soon, since the rule's delay may be running.
@@ -334,18 +546,4 @@
         log::warn!("directory: {message}; asked again in {pause_ms} ms");
         self.next_call = Some(next_call);
     }
-
-    fn update_membership(
-        &self,
-        now: Micros,
-        is_complete: bool,
-        endpoints: Vec<EndpointEntry>,
-        fleet: &mut Fleet,
-    ) -> MembershipChange {
-        let reports = endpoints.into_iter().map(EndpointEntry::into_report);
-        let reports = reports.collect();
-        fleet
-            .members
-            .apply_discovery_list(now, self.source, is_complete, reports)
-    }
 }
--- a/crates/node/src/discovery/staleness.rs
+++ b/crates/node/src/discovery/staleness.rs
@@ -116,13 +116,15 @@
 struct OpenCall {
     sent_at: Micros,
     call: PlannedCall,
+    /// Its answer has begun.
+    is_answering: bool,
 }
 
 impl OpenCall {
     /// Whether discovery has held this call, to answer it at the next change.
     fn is_held(&self, now: Micros) -> bool {
         let waits = matches!(self.call.query, Query::Changes { wait } if wait > Micros(0));
-        waits && now - self.sent_at > QUEUE_TIME
+        waits && !self.is_answering && now - self.sent_at > QUEUE_TIME
     }
 }
 
@@ -183,7 +185,11 @@
         };
         let deadline = now + timeout;
         let call = PlannedCall { query, deadline };
-        self.open_call = Some(OpenCall { sent_at: now, call });
+        self.open_call = Some(OpenCall {
+            sent_at: now,
+            call,
+            is_answering: false,
+        });
         call
     }
 
@@ -201,6 +207,24 @@
         Micros(self.grace.0 / TRIES_IN_GRACE).max(MIN_TRY_INTERVAL)
     }
 
+    /// The answer to the open call has begun; discovery wrote its first bytes at `began_at` at the earliest. Where lists
+    /// are pushed, what changes while it is read counts as notified at once.
+    pub fn handle_answer_begun(&mut self, began_at: Micros) {
+        if self.lists_are_pushed {
+            self.doubt_from(began_at);
+        }
+    }
+
+    /// Bytes of the answer to the open call have come: it is not silent as long as more come, and until what changes
+    /// meanwhile counts as notified.
+    pub fn handle_progress(&mut self, now: Micros) {
+        if let Some(open) = &mut self.open_call {
+            open.is_answering = true;
+            let latest = open.sent_at + NOTIFICATION_DELAY;
+            open.call.deadline = latest.min(now + QUEUE_TIME);
+        }
+    }
+
     /// The list, or a part of it, has come.
     pub fn handle_answer(&mut self) {
         self.open_call = None;
@@ -214,6 +238,7 @@
         let call = self.open_call.take();
         let sent_at = call.map_or(now, |call| call.sent_at);
         let is_held = call.is_some_and(|call| call.is_held(now));
+        let is_cut_off = call.is_some_and(|call| call.is_answering);
         let is_first = self.failures == 0;
         self.failures += 1;
         let proves_outage = match fault {
@@ -231,20 +256,35 @@
             _ => sent_at,
         };
         self.doubt_since(missed_since, fault);
-        now + self.draw_pause(fault, is_first)
+        let max_pause = if is_cut_off && is_first && !self.lists_are_pushed {
+            // Discovery answers, and what it has said counts as notified.
+            MIN_TRY_INTERVAL
+        } else {
+            self.max_pause(fault, is_first)
+        };
+        now + self.draw(max_pause)
     }
 
     fn doubt_since(&mut self, missed_since: Micros, fault: Fault) {
         let notified_at = missed_since + NOTIFICATION_DELAY;
         let is_down = self.outage == Outage::NothingMissed && fault == Fault::Unreachable;
-        let earlier = self.list.notified_at().filter(|_| !is_down);
+        if is_down {
+            self.list = self.list.with_doubt(notified_at);
+        } else {
+            self.doubt_from(notified_at);
+        }
+    }
+
+    /// From then on a change that was missed may count as notified, unless it does already.
+    fn doubt_from(&mut self, notified_at: Micros) {
+        let earlier = self.list.notified_at();
         let notified_at = earlier.map_or(notified_at, |earlier| earlier.min(notified_at));
         self.list = self.list.with_doubt(notified_at);
     }
 
-    /// The pause before the next call, after a failure.
-    fn draw_pause(&mut self, fault: Fault, is_first: bool) -> Micros {
-        let max_pause = match fault {
+    /// The longest pause before the next call, after a failure.
+    fn max_pause(&self, fault: Fault, is_first: bool) -> Micros {
+        match fault {
             _ if self.lists_are_pushed => self.try_interval_in_grace(),
             Fault::Silent if is_first => Micros(0),
             // A watch that broke is opened anew soon, and not in step with the others.
@@ -252,8 +292,7 @@
             _ if self.is_moving() => MAX_PAUSE,
             // Backoff: many callers are what keeps discovery from answering.
             _ => Micros(MAX_PAUSE.0 << (self.failures.min(MAX_BACKOFF_STEPS) - 1)),
-        };
-        self.draw(max_pause)
+        }
     }
 
     /// From when on a change that was missed may count as notified, should the open call be silent.
@@ -264,9 +303,7 @@
 
     /// Takes over the doubt of the process that this one replaces.
     pub fn inherit_doubt(&mut self, notified_at: Micros) {
-        let earlier = self.list.notified_at();
-        let notified_at = earlier.map_or(notified_at, |earlier| earlier.min(notified_at));
-        self.list = self.list.with_doubt(notified_at);
+        self.doubt_from(notified_at);
         self.outage = Outage::MayHaveMissed;
     }
 
@@ -279,6 +316,11 @@
         self.open_call = None;
     }
 
+    /// Whether what discovery has counts as notified at once.
+    pub fn lists_are_pushed(&self) -> bool {
+        self.lists_are_pushed
+    }
+
     /// Whether the node has moved to a discovery service that has not sent its list yet.
     pub fn is_moving(&self) -> bool {
         matches!(self.list, ListState::Moving { .. })
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -40,19 +40,7 @@
         }
     }
 
-    /// Tells the core what a list of discovery has changed.
-    pub fn apply_list(
-        &mut self,
-        now: Micros,
-        kind: WorkerListKind,
-        change: MembershipChange,
-        core: &mut Core,
-    ) {
-        self.stale_workers.extend(change.stale_workers);
-        core.apply_worker_list(now, kind, change.entries);
-    }
-
-    /// Tells the core of a change that no list of discovery brought.
+    /// Tells the core what has changed.
     pub fn apply_change(&mut self, now: Micros, change: MembershipChange, core: &mut Core) {
         self.stale_workers.extend(change.stale_workers);
         if !change.entries.is_empty() {
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 
 /// Events handled in one turn; the rest come in the next, after the timers.
-const MAX_EVENTS: usize = 128;
+pub const MAX_EVENTS: usize = 128;
 /// The peer sends nothing more, whether or not all that it sent is read.
 const ENDED: EventFlags = EventFlags::RDHUP
     .union(EventFlags::HUP)
@@ -99,6 +99,13 @@
     flags: EventFlags,
 }
 
+impl SocketEvent {
+    /// The socket.
+    pub fn token(&self) -> Token {
+        self.token
+    }
+}
+
 /// A socket to be handled. Connections have been read and written as far as they go.
 #[derive(Clone, Copy, Debug)]
 pub struct Ready {
--- a/crates/node/src/node/builder.rs
+++ b/crates/node/src/node/builder.rs
@@ -16,7 +16,7 @@
 use crate::context::Context;
 use crate::core::licensing::{Licensing, UnknownClassError};
 use crate::core::Core;
-use crate::discovery::{self, Discovery, EndpointList, StalenessTracker};
+use crate::discovery::{self, Discovery, EndpointList, ListTrust, StalenessTracker};
 use crate::eureka::Eureka;
 use crate::federation::Federation;
 use crate::fleet::Fleet;
@@ -326,6 +326,7 @@
         config.lists_are_pushed,
         config.seed,
     );
-    let discovery = Discovery::new(config.discovery, source, staleness);
+    let trust = ListTrust::new(config.drain_grace);
+    let discovery = Discovery::new(config.discovery, source, staleness, trust);
     (discovery, Fleet::new(members))
 }
--- a/crates/node/src/node/commands.rs
+++ b/crates/node/src/node/commands.rs
@@ -33,6 +33,10 @@
                 .discovery
                 .handle_event(now, ready.token, fleet, net, core);
         }
+        // What has come now may have been written a while ago, and is not read to its end.
+        let now = self.clock.now();
+        context.now = now;
+        context.discovery.wake(now, fleet, net, core);
         let leaving = context.workers.requests_leaving(net);
         let revision = context.discovery.revision();
         log::trace!("{} calls may leave by revision {revision}", leaving.len());
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -21,8 +21,9 @@
 use crate::clock::{millis, Clock};
 use crate::config::{ConfigError, NodeConfig};
 use crate::context::Context;
+use crate::discovery::WaitFinding;
 use crate::handover::Handover;
-use crate::net::{Peer, Ready, Token};
+use crate::net::{Peer, Ready, SocketEvent, Token, MAX_EVENTS};
 use crate::placement::ForwardedJobs;
 use crate::service::Service;
 use limits::SharedLimits;
@@ -75,10 +76,7 @@
                 log::info!("ended: {}", self.context.core.counts());
                 return;
             }
-            let next_wake = self.next_wake();
-            self.context
-                .net
-                .wait(self.clock.now(), next_wake, &mut events);
+            self.wait(&mut events);
             // Timers first: however many events have come, they are punctual.
             self.wake(self.clock.now());
             for event in events.drain(..) {
@@ -89,6 +87,22 @@
         }
     }
 
+    /// Waits until something happens or a timer is due.
+    fn wait(&mut self, events: &mut Vec<SocketEvent>) {
+        let from = self.clock.now();
+        let next_wake = self.next_wake();
+        let Context { net, discovery, .. } = &mut self.context;
+        net.wait(from, next_wake, events);
+        let awaited = discovery.awaited();
+        let is_awaited = |event: &SocketEvent| Some(event.token()) == awaited;
+        let found = if events.len() >= MAX_EVENTS || events.iter().any(is_awaited) {
+            WaitFinding::Something
+        } else {
+            WaitFinding::Nothing
+        };
+        discovery.note_wait(from, self.clock.now(), found);
+    }
+
     fn next_wake(&self) -> Option<Micros> {
         let own = [
             self.context.core.next_wake(),
--- a/crates/node/tests/large_lists.rs
+++ b/crates/node/tests/large_lists.rs
@@ -64,10 +64,23 @@
     }
 }
 
-fn run_job(environment: &TestEnvironment, txn: &str) -> u16 {
+/// How a job ends for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum JobEnd {
+    Served,
+    /// With 429 or 503: trying again is harmless.
+    Rejected,
+    Failed,
+}
+
+fn run_job(environment: &TestEnvironment, txn: &str) -> JobEnd {
     let client = JobClient::connect(&environment.client_address);
     let status = client.and_then(|mut client| client.run(txn, TIME_LEFT_MS));
-    status.expect("an answer")
+    match status.expect("an answer") {
+        200 => JobEnd::Served,
+        429 | 503 => JobEnd::Rejected,
+        _ => JobEnd::Failed,
+    }
 }
 
 /// The jobs that each worker has started.
@@ -93,17 +106,17 @@
     let drained = entry(&environment, "w1", "draining");
     list_large_fleet(&environment.discovery, &[], &[drained]);
     environment.wait_for_member("w1", is_drained);
-    assert_eq!(run_job(&environment, "job-1"), 200);
+    assert_eq!(run_job(&environment, "job-1"), JobEnd::Served);
     assert_eq!(started(&environment), [0, 1]);
 }
 
 /// An answer that stops half-way: once the grace is over, only those workers get jobs that it has named as up.
 #[rstest]
-#[case::none_named(&[], 503)]
-#[case::one_named(&["w2"], 200)]
+#[case::none_named(&[], JobEnd::Rejected)]
+#[case::one_named(&["w2"], JobEnd::Served)]
 fn an_answer_that_stops_half_way_pauses_the_workers_that_it_has_not_named(
     #[case] named: &[&str],
-    #[case] status: u16,
+    #[case] end: JobEnd,
 ) {
     let environment = two_workers();
     let discovery = &environment.discovery;
@@ -112,12 +125,13 @@
     let drained = entry(&environment, "w1", "draining");
     list_large_fleet(discovery, &named.collect::<Vec<_>>(), &[drained]);
     environment.wait_for_log(PAUSED);
-    assert_eq!(run_job(&environment, "job-1"), status);
-    assert_eq!(started(&environment), [0, usize::from(status == 200)]);
+    assert_eq!(run_job(&environment, "job-1"), end);
+    let served = usize::from(end == JobEnd::Served);
+    assert_eq!(started(&environment), [0, served]);
     discovery.set_answers(AnswerForm::Compact, Delivery::AtOnce);
     discovery.resume();
     environment.wait_for_member("w1", is_drained);
-    assert_eq!(run_job(&environment, "job-2"), 200);
+    assert_eq!(run_job(&environment, "job-2"), JobEnd::Served);
     assert_eq!(started(&environment)[0], 0);
 }
 
@@ -130,10 +144,10 @@
     let drained = entry(&environment, "w1", "draining");
     list_large_fleet(discovery, &[], &[drained]);
     environment.wait_for_log(PAUSED);
-    assert_eq!(run_job(&environment, "job-1"), 503);
+    assert_eq!(run_job(&environment, "job-1"), JobEnd::Rejected);
     discovery.set_answers(AnswerForm::Compact, Delivery::AtOnce);
     environment.wait_for_member("w1", is_drained);
-    assert_eq!(run_job(&environment, "job-2"), 200);
+    assert_eq!(run_job(&environment, "job-2"), JobEnd::Served);
     assert_eq!(started(&environment), [0, 1]);
 }
 
--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -4,7 +4,7 @@
 use crate::accept::{listen, serve_connections};
 use crate::http;
 use serde_json::{json, Value};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -64,6 +64,10 @@
 }
 
 impl ListedWorker {
+    fn id(&self) -> &str {
+        self.member["id"].as_str().unwrap_or_default()
+    }
+
     fn is_up(&self) -> bool {
         self.member["phase"] == "up"
     }
@@ -131,11 +135,11 @@
         let member = member(id, address, phase, state.workers.len() / 3);
         state.workers.retain(|worker| worker.member["id"] != id);
         state.workers.push(ListedWorker { revision, member });
-        state.forget_notices(&[id]);
+        state.forget_notices([id]);
         self.state.1.notify_all();
     }
 
-    /// Sets the entries of many workers in one change of the list.
+    /// Sets the entries of many workers in one change of the list; they come last, in this order.
     ///
     /// # Panics
     /// A thread has panicked before.
@@ -143,21 +147,15 @@
         let mut state = self.state();
         state.revision += 1;
         let revision = state.revision;
-        let known = state.workers.iter().enumerate();
-        let id = |worker: &ListedWorker| worker.member["id"].as_str().unwrap_or("").to_owned();
-        let mut positions: HashMap<String, usize> = known.map(|(n, w)| (id(w), n)).collect();
+        let ids: HashSet<&str> = endpoints.iter().map(|endpoint| endpoint.id).collect();
+        let is_changed = |worker: &ListedWorker| ids.contains(worker.id());
+        state.workers.retain(|worker| !is_changed(worker));
         for endpoint in endpoints {
-            let count = state.workers.len();
-            let position = *positions.entry(endpoint.id.to_owned()).or_insert(count);
-            let member = member(endpoint.id, endpoint.address, endpoint.phase, position / 3);
-            let worker = ListedWorker { revision, member };
-            match state.workers.get_mut(position) {
-                Some(known) => *known = worker,
-                None => state.workers.push(worker),
-            }
+            let cell = state.workers.len() / 3;
+            let member = member(endpoint.id, endpoint.address, endpoint.phase, cell);
+            state.workers.push(ListedWorker { revision, member });
         }
-        let ids: Vec<&str> = endpoints.iter().map(|endpoint| endpoint.id).collect();
-        state.forget_notices(&ids);
+        state.forget_notices(ids);
         self.state.1.notify_all();
     }
 
@@ -307,9 +305,9 @@
 
 impl State {
     /// What was said before of these workers is over.
-    fn forget_notices(&mut self, ids: &[&str]) {
+    fn forget_notices<'a>(&mut self, ids: impl IntoIterator<Item = &'a str>) {
         for id in ids {
-            self.notices.remove(*id);
+            self.notices.remove(id);
         }
     }
 
@@ -335,7 +333,7 @@
         not_up: impl Iterator<Item = &'a ListedWorker>,
     ) -> Answer {
         let members: Vec<&Value> = workers.map(|worker| &worker.member).collect();
-        let id = |worker: &ListedWorker| worker.member["id"].as_str().unwrap_or("").to_owned();
+        let id = |worker: &ListedWorker| worker.id().to_owned();
         Answer {
             body: json!({"revision": self.revision, "complete": complete, "members": members}),
             not_up: not_up.map(id).collect(),
