Find a worker's records by its number, and scan list entries in runs

Cause: with 3,200 changed entries, most of the processor time went into look-ups by id in ordered maps (perf: memcmp, record_report, recompute) and into searches through boxed workers. Change: a source's records in a hash table beside the ordered ids; what was published by worker; the dispatcher's ids side by side; runs of plain bytes and strings in the splitter.

--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -21,6 +21,8 @@
         reason = "a new worker is put before thousands of others: pointers move, not workers"
     )]
     pub workers: Vec<Box<Worker>>,
+    /// Their ids, side by side: a search reads these.
+    ids: Vec<WorkerId>,
     /// How many of them are removed.
     removed: usize,
     pub kinds: BTreeMap<KindId, KindStatistics>,
@@ -37,8 +39,7 @@
 
     /// The position of a worker, or where it would be put in.
     fn search(&self, id: WorkerId) -> Result<usize, usize> {
-        let workers = &self.workers;
-        workers.binary_search_by(|worker| worker.entry.worker.cmp(&id))
+        self.ids.binary_search(&id)
     }
 
     /// Takes a complete list, or the entries that have changed: work in proportion to these.
@@ -77,6 +78,7 @@
                     entry,
                     ..Worker::default()
                 };
+                self.ids.insert(w, worker.entry.worker);
                 self.workers.insert(w, Box::new(worker));
             }
         }
@@ -111,6 +113,8 @@
         let before = self.workers.len();
         self.workers.retain(|worker| is_kept(worker));
         self.removed -= before - self.workers.len();
+        let ids = self.workers.iter().map(|worker| worker.entry.worker);
+        self.ids = ids.collect();
     }
 
     /// The workers that lately reported or were sent to.
--- a/crates/json-splitter/src/element.rs
+++ b/crates/json-splitter/src/element.rs
@@ -26,12 +26,19 @@
 
     /// Scans the next piece. Returns where the element ends in it, if it does.
     pub fn scan(&mut self, bytes: &[u8], max_depth: usize) -> Result<Option<usize>, SplitError> {
-        for (position, byte) in bytes.iter().enumerate() {
+        let mut at = 0;
+        while at < bytes.len() {
             if self.in_string {
-                self.scan_in_string(*byte);
+                at += self.scan_in_string(&bytes[at..]);
                 continue;
             }
-            match CLASSES[usize::from(*byte)] {
+            let is_plain = |byte: &u8| CLASSES[usize::from(*byte)] == ByteClass::Plain;
+            let rest = &bytes[at..];
+            let Some(plain) = rest.iter().position(|byte| !is_plain(byte)) else {
+                break;
+            };
+            at += plain + 1;
+            match CLASSES[usize::from(rest[plain])] {
                 ByteClass::Plain => {}
                 ByteClass::Quote => self.in_string = true,
                 ByteClass::OpenBrace => self.open(true, max_depth)?,
@@ -41,22 +48,35 @@
                 ByteClass::Invalid => return Err(SplitError::NotJson),
             }
             if self.depth == 0 {
-                self.scanned += position + 1;
-                return Ok(Some(position + 1));
+                self.scanned += at;
+                return Ok(Some(at));
             }
         }
         self.scanned += bytes.len();
         Ok(None)
     }
 
-    fn scan_in_string(&mut self, byte: u8) {
-        if self.escaped {
-            self.escaped = false;
-        } else if byte == b'\\' {
+    /// Scans on to the end of the string, or of the piece. Returns how many bytes that are.
+    fn scan_in_string(&mut self, bytes: &[u8]) -> usize {
+        let mut at = 0;
+        while at < bytes.len() {
+            if std::mem::take(&mut self.escaped) {
+                at += 1;
+                continue;
+            }
+            let rest = &bytes[at..];
+            let is_special = |byte: &u8| matches!(byte, b'"' | b'\\');
+            let Some(plain) = rest.iter().position(is_special) else {
+                break;
+            };
+            at += plain + 1;
+            if rest[plain] == b'"' {
+                self.in_string = false;
+                return at;
+            }
             self.escaped = true;
-        } else if byte == b'"' {
-            self.in_string = false;
         }
+        bytes.len()
     }
 
     fn open(&mut self, is_brace: bool, max_depth: usize) -> Result<(), SplitError> {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -25,6 +25,7 @@
 mod membership;
 mod precedence;
 mod publish;
+mod record_table;
 mod reports;
 mod self_preservation;
 mod source;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -4,7 +4,8 @@
 use crate::source::{Source, SourceRecord};
 use crate::{SourceId, SourceReport};
 use marbledeck_dispatcher::{Micros, WorkerEntry, WorkerId};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use marbledeck_platform_settings::worker_id;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// Where a worker listens.
@@ -20,6 +21,8 @@
 /// What was published of a worker last.
 #[derive(Clone, Debug)]
 pub(crate) struct PublishedWorker {
+    /// The worker's id.
+    pub id: String,
     pub entry: WorkerEntry,
     pub endpoint: Option<Endpoint>,
 }
@@ -41,9 +44,7 @@
     /// The workers that operators took out of service, whether any source names them or not: they may leave and come
     /// back.
     pub(crate) out_of_service: BTreeSet<String>,
-    /// What was published, by the workers' ids.
-    pub(crate) published: BTreeMap<String, PublishedWorker>,
-    pub(crate) id_by_worker: HashMap<WorkerId, String>,
+    pub(crate) published: HashMap<WorkerId, PublishedWorker>,
     /// Who reports which worker at each address, in the order of precedence: the first worker owns it.
     pub(crate) claims_by_address: HashMap<SocketAddr, BTreeSet<AddressClaim>>,
     /// When suspected workers and sources are looked at.
@@ -62,8 +63,7 @@
             kinds,
             sources: Vec::new(),
             out_of_service: BTreeSet::new(),
-            published: BTreeMap::new(),
-            id_by_worker: HashMap::new(),
+            published: HashMap::new(),
             claims_by_address: HashMap::new(),
             due_checks: BTreeSet::new(),
             due_probes: Vec::new(),
@@ -118,13 +118,13 @@
     }
 
     fn published_worker(&self, worker: WorkerId) -> Option<&PublishedWorker> {
-        self.published.get(self.id_by_worker.get(&worker)?)
+        self.published.get(&worker)
     }
 
     /// Whether a worker of this id is named by a source, or out of service.
     pub fn is_known(&self, id: &str) -> bool {
         let mut sources = self.sources.iter();
-        self.out_of_service.contains(id) || sources.any(|source| source.records.contains_key(id))
+        self.out_of_service.contains(id) || sources.any(|source| source.records.contains(id))
     }
 
     /// The workers that operators took out of service.
@@ -137,15 +137,10 @@
         self.out_of_service = ids;
     }
 
-    /// The entries of all published workers, for a list that replaces another.
-    pub fn entries(&self) -> Vec<WorkerEntry> {
-        let published = self.published.values();
-        published.map(|worker| worker.entry.clone()).collect()
-    }
-
     /// The entry of a worker, as it was published last.
     pub fn entry(&self, id: &str) -> Option<WorkerEntry> {
-        self.published.get(id).map(|worker| worker.entry.clone())
+        let published = self.published.get(&worker_id(id));
+        published.map(|worker| worker.entry.clone())
     }
 
     /// How many workers a source names.
@@ -155,23 +150,24 @@
 
     /// The report on a worker of the first source that names it.
     pub fn report(&self, id: &str) -> Option<&SourceReport> {
-        let mut records = self.records(id);
+        let mut records = self.records(worker_id(id));
         records.next().map(|(_, record)| &record.report)
     }
 
     /// The reports of a source, in the order of the workers' ids.
     pub fn reports(&self, source: SourceId) -> impl Iterator<Item = &SourceReport> {
-        let records = self.sources[source.0].records.values();
+        let records = self.sources[source.0].records.after(None);
         records.map(|record| &record.report)
     }
 
     /// Each source's record of a worker, in the order of the sources.
-    pub(crate) fn records<'a, 'i>(
+    pub(crate) fn records<'a>(
         &'a self,
-        id: &'i str,
-    ) -> impl Iterator<Item = (SourceId, &'a SourceRecord)> + use<'a, 'i> {
-        self.sources_by_id()
-            .filter_map(move |(source_id, source)| Some((source_id, source.records.get(id)?)))
+        worker: WorkerId,
+    ) -> impl Iterator<Item = (SourceId, &'a SourceRecord)> + use<'a> {
+        self.sources_by_id().filter_map(move |(source_id, source)| {
+            Some((source_id, source.records.get_worker(worker)?))
+        })
     }
 
     /// How many workers are named by a source.
@@ -184,11 +180,11 @@
         self.published.is_empty()
     }
 
-    /// The published workers, with their ids and whether each is out of service.
+    /// The published workers in any order, with their ids and whether each is out of service.
     pub fn workers(&self) -> impl Iterator<Item = (WorkerId, &str, bool)> {
-        self.published.iter().map(|(id, published)| {
-            let is_out = self.out_of_service.contains(id);
-            (published.entry.worker, id.as_str(), is_out)
+        self.published.iter().map(|(worker, published)| {
+            let is_out = self.out_of_service.contains(&published.id);
+            (*worker, published.id.as_str(), is_out)
         })
     }
 }
--- a/crates/membership/src/precedence.rs
+++ b/crates/membership/src/precedence.rs
@@ -2,7 +2,7 @@
 
 use crate::source::SourceRecord;
 use crate::{Membership, SourceId, Status};
-use marbledeck_dispatcher::{CellId, Micros};
+use marbledeck_dispatcher::{CellId, Micros, WorkerId};
 use std::cmp::Reverse;
 use std::fmt;
 use std::net::SocketAddr;
@@ -55,8 +55,8 @@
 
 impl Membership {
     /// What all reports on a worker come to; none where no source names it.
-    pub(crate) fn merged(&self, id: &str) -> Option<MergedReport<'_>> {
-        let records: Vec<(SourceId, &SourceRecord)> = self.records(id).collect();
+    pub(crate) fn merged(&self, worker: WorkerId, id: &str) -> Option<MergedReport<'_>> {
+        let records: Vec<(SourceId, &SourceRecord)> = self.records(worker).collect();
         let (_, first) = records.first()?;
         let address = merged_address(&records);
         let cells = records.iter().find_map(|(_, record)| record.report.cell);
--- a/crates/membership/src/publish.rs
+++ b/crates/membership/src/publish.rs
@@ -11,18 +11,31 @@
 impl Membership {
     /// Computes a worker's entry anew, and tells it where it has changed.
     pub(crate) fn recompute(&mut self, id: &str, change: &mut MembershipChange) {
-        let worker = worker_id(id);
-        let Some(merged) = self.merged(id) else {
-            return self.unpublish(id, worker, change);
+        self.recompute_worker(worker_id(id), id, change);
+    }
+
+    /// As [`Membership::recompute`], for a worker whose number is known.
+    pub(crate) fn recompute_worker(
+        &mut self,
+        worker: WorkerId,
+        id: &str,
+        change: &mut MembershipChange,
+    ) {
+        let Some(merged) = self.merged(worker, id) else {
+            return self.unpublish(worker, change);
         };
         let entry = self.merged_entry(worker, &merged);
         let (address, started_at) = (merged.address, merged.started_at);
-        let Some(published) = self.published.get_mut(id) else {
+        let Some(published) = self.published.get_mut(&worker) else {
             change.entries.push(entry.clone());
-            self.id_by_worker.insert(worker, id.to_owned());
             let endpoint = new_endpoint(id, address, started_at);
-            let published = PublishedWorker { entry, endpoint };
-            self.published.insert(id.to_owned(), published);
+            let id = id.to_owned();
+            let published = PublishedWorker {
+                id,
+                entry,
+                endpoint,
+            };
+            self.published.insert(worker, published);
             return;
         };
         if !published.listens_at(address, started_at) {
@@ -53,11 +66,10 @@
     }
 
     /// No source names the worker any more.
-    fn unpublish(&mut self, id: &str, worker: WorkerId, change: &mut MembershipChange) {
-        let Some(old) = self.published.remove(id) else {
+    fn unpublish(&mut self, worker: WorkerId, change: &mut MembershipChange) {
+        let Some(old) = self.published.remove(&worker) else {
             return;
         };
-        self.id_by_worker.remove(&worker);
         self.alive_at.remove(&worker);
         change.stale_workers.push(worker);
         change.entries.push(WorkerEntry {
--- a/crates/membership/src/reports.rs
+++ b/crates/membership/src/reports.rs
@@ -5,7 +5,7 @@
 use crate::source::SourceRecord;
 use crate::{EntryDigest, Membership, MembershipChange, SourceId, SourceReport, Status};
 use marbledeck_dispatcher::Micros;
-use std::ops::Bound::{Excluded, Unbounded};
+use marbledeck_platform_settings::worker_id;
 
 impl Membership {
     /// Takes a source's report on one worker: it is named, with this status.
@@ -47,7 +47,7 @@
         self.record_contact(now, source);
         self.begin_full_list(source);
         change.append(self.apply_list_part(now, source, reports));
-        change.append(self.sweep_missing(now, source, None, usize::MAX).0);
+        change.append(self.sweep_all_missing(now, source));
         change
     }
 
@@ -81,6 +81,20 @@
         change
     }
 
+    /// Ends a whole list at once: looks for all that it did not name.
+    pub fn sweep_all_missing(&mut self, now: Micros, source: SourceId) -> MembershipChange {
+        let mut change = MembershipChange::default();
+        let sweeping = &self.sources[source.0];
+        let is_missing = |record: &&SourceRecord| record.list_number != sweeping.list_number;
+        let missing = sweeping.records.values().filter(is_missing);
+        let mut missing: Vec<String> = missing.map(|record| record.report.id.clone()).collect();
+        missing.sort_unstable();
+        for id in &missing {
+            self.record_missing(now, source, id, false, &mut change);
+        }
+        change
+    }
+
     /// Looks for those that the list did not name, among the next `max` after this id. Tells where to go on; none where
     /// all were looked at.
     pub fn sweep_missing(
@@ -92,11 +106,10 @@
     ) -> (MembershipChange, Option<String>) {
         let mut change = MembershipChange::default();
         let list_number = self.sources[source.0].list_number;
-        let from = after.map_or(Unbounded, Excluded);
         let records = &self.sources[source.0].records;
-        let looked_at = records.range::<str, _>((from, Unbounded)).take(max);
         let (mut count, mut last, mut missing) = (0, None, Vec::new());
-        for (id, record) in looked_at {
+        for record in records.after(after).take(max) {
+            let id = &record.report.id;
             (count, last) = (count + 1, Some(id));
             if record.list_number != list_number {
                 missing.push(id.clone());
@@ -132,9 +145,9 @@
         change: &mut MembershipChange,
     ) {
         let reporting = &mut self.sources[source.0];
-        let list_number = reporting.list_number;
-        let known = reporting.records.get_mut(&report.id);
-        let Some(known) = known else {
+        let (list_number, trusted_from) = (reporting.list_number, reporting.trusted_from_list);
+        let worker = worker_id(&report.id);
+        let Some(known) = reporting.records.get_worker_mut(worker) else {
             return self.add_report(now, source, report, digest, change);
         };
         if known.report.version > report.version {
@@ -142,13 +155,12 @@
             report = known.report.clone();
         }
         let is_repeated = known.report == report;
+        let was_trusted = known.note_named(now, list_number, trusted_from);
         let old_digest = std::mem::replace(&mut known.digest, digest);
-        let had_address = known.report.address;
-        known.report = report;
-        let id = known.report.id.clone();
+        let had_address = std::mem::replace(&mut known.report, report).address;
         let has_address = known.report.address;
-        reporting.replace_digest(&id, old_digest, digest);
-        let was_trusted = self.note_named(now, source, &id, list_number);
+        let id = known.report.id.clone();
+        reporting.replace_digest(worker, old_digest, digest);
         if is_repeated && was_trusted {
             return;
         }
@@ -165,7 +177,7 @@
                 new_owners = self.claim_address(address, claim(&id));
             }
         }
-        self.recompute(&id, change);
+        self.recompute_worker(worker, &id, change);
         self.recompute_owners(&id, old_owners, change);
         self.recompute_owners(&id, new_owners, change);
     }
@@ -186,7 +198,7 @@
             owners = self.claim_address(address, AddressClaim { source, id });
         }
         let reporting = &mut self.sources[source.0];
-        reporting.replace_digest(&id, None, digest);
+        reporting.replace_digest(worker_id(&id), None, digest);
         let record = SourceRecord {
             report,
             reported_at: now,
@@ -194,32 +206,11 @@
             list_number: reporting.list_number,
             digest,
         };
-        reporting.records.insert(id.clone(), record);
+        reporting.records.insert(record);
         self.recompute(&id, change);
         self.recompute_owners(&id, owners, change);
     }
 
-    /// Notes that a list of a source names a worker. Returns whether the worker was to be sent to by this source's word
-    /// before.
-    pub(crate) fn note_named(
-        &mut self,
-        now: Micros,
-        source: SourceId,
-        id: &str,
-        list_number: u64,
-    ) -> bool {
-        let naming = &mut self.sources[source.0];
-        let trusted_from_list = naming.trusted_from_list;
-        let Some(record) = naming.records.get_mut(id) else {
-            return false;
-        };
-        let was_trusted = record.list_number >= trusted_from_list;
-        record.list_number = list_number;
-        record.reported_at = now;
-        record.suspicion = None;
-        was_trusted
-    }
-
     /// A source no longer names a worker.
     pub(crate) fn record_missing(
         &mut self,
@@ -251,7 +242,7 @@
         let Some(record) = dropping.records.remove(id) else {
             return;
         };
-        dropping.replace_digest(id, record.digest, None);
+        dropping.replace_digest(worker_id(id), record.digest, None);
         let mut owners = Owners::default();
         if let Some(address) = record.report.address {
             let id = id.to_owned();
--- a/crates/membership/src/self_preservation.rs
+++ b/crates/membership/src/self_preservation.rs
@@ -166,7 +166,7 @@
         if evidence == HealthEvidence::Alive {
             self.alive_at.insert(worker, now);
         }
-        let Some(id) = self.id_by_worker.get(&worker).cloned() else {
+        let Some(id) = self.published.get(&worker).map(|worker| worker.id.clone()) else {
             return change;
         };
         for position in 0..self.sources.len() {
@@ -276,10 +276,11 @@
     fn mark_silent(&mut self, now: Micros, source: SourceId) {
         let silent = &mut self.sources[source.0];
         silent.is_silent = true;
-        for (id, record) in &mut silent.records {
+        for record in silent.records.values_mut() {
             if record.suspicion.is_none() {
                 record.suspicion = Some(Suspicion::new(now, false));
-                self.due_checks.insert(DueCheck::of_worker(now, source, id));
+                self.due_checks
+                    .insert(DueCheck::of_worker(now, source, &record.report.id));
             }
         }
     }
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -1,9 +1,10 @@
 //! The sources of workers, and what each has reported.
 
+use crate::record_table::RecordTable;
 use crate::self_preservation::{ProbeWindow, SelfPreservation, Suspicion};
 use crate::SourceReport;
-use marbledeck_dispatcher::Micros;
-use std::collections::{BTreeMap, HashMap};
+use marbledeck_dispatcher::{Micros, WorkerId};
+use std::collections::HashMap;
 
 /// A source, in the order in which they were added: the earlier one takes precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -27,13 +28,24 @@
     pub digest: Option<EntryDigest>,
 }
 
+impl SourceRecord {
+    /// Notes that the list of this number names the worker. Returns whether the report was new enough to send by before,
+    /// where only those of some list and later ones are.
+    pub fn note_named(&mut self, now: Micros, list_number: u64, trusted_from_list: u64) -> bool {
+        let was_trusted = self.list_number >= trusted_from_list;
+        self.list_number = list_number;
+        self.reported_at = now;
+        self.suspicion = None;
+        was_trusted
+    }
+}
+
 /// A source, and all that it reports.
 #[derive(Debug)]
 pub(crate) struct Source {
     pub name: String,
     pub self_preservation: Option<SelfPreservation>,
-    /// By the workers' ids.
-    pub records: BTreeMap<String, SourceRecord>,
+    pub records: RecordTable,
     /// It has said nothing for longer than its self-preservation allows.
     pub is_silent: bool,
     /// When it counts as silent, should it say nothing more.
@@ -43,8 +55,8 @@
     pub list_number: u64,
     /// Reports of an earlier list are not new enough to send by.
     pub trusted_from_list: u64,
-    /// The ids of the workers, by the digests of the texts that their reports were read from.
-    pub ids_by_digest: HashMap<EntryDigest, String>,
+    /// The workers, by the digests of the texts that their reports were read from.
+    pub workers_by_digest: HashMap<EntryDigest, WorkerId>,
 }
 
 impl Source {
@@ -52,13 +64,13 @@
         Source {
             name: name.to_owned(),
             self_preservation,
-            records: BTreeMap::new(),
+            records: RecordTable::default(),
             is_silent: false,
             silent_at: None,
             probe_window: ProbeWindow::default(),
             list_number: 0,
             trusted_from_list: 0,
-            ids_by_digest: HashMap::new(),
+            workers_by_digest: HashMap::new(),
         }
     }
 
@@ -68,15 +80,20 @@
     }
 
     /// Enters the digest of a worker's text, in the place of an earlier one.
-    pub fn replace_digest(&mut self, id: &str, old: Option<EntryDigest>, new: Option<EntryDigest>) {
+    pub fn replace_digest(
+        &mut self,
+        worker: WorkerId,
+        old: Option<EntryDigest>,
+        new: Option<EntryDigest>,
+    ) {
         if old == new {
             return;
         }
         if let Some(old) = old {
-            self.ids_by_digest.remove(&old);
+            self.workers_by_digest.remove(&old);
         }
         if let Some(new) = new {
-            self.ids_by_digest.insert(new, id.to_owned());
+            self.workers_by_digest.insert(new, worker);
         }
     }
 }
--- a/crates/membership/src/streamed_list.rs
+++ b/crates/membership/src/streamed_list.rs
@@ -3,6 +3,7 @@
 //! Each list of a source has a number, and each report that of the list that named it last. A source whose list may be
 //! outdated is trusted only for what lists from some number on have named.
 
+use crate::source::SourceRecord;
 use crate::{EntryDigest, Membership, MembershipChange, SourceId, SourceReport};
 use marbledeck_dispatcher::Micros;
 
@@ -22,12 +23,14 @@
         digest: EntryDigest,
         change: &mut MembershipChange,
     ) -> bool {
-        let naming = &self.sources[source.0];
-        let list_number = naming.list_number;
-        let Some(id) = naming.ids_by_digest.get(&digest).cloned() else {
+        let naming = &mut self.sources[source.0];
+        let (list_number, trusted_from) = (naming.list_number, naming.trusted_from_list);
+        let worker = naming.workers_by_digest.get(&digest);
+        let Some(record) = worker.and_then(|worker| naming.records.get_worker_mut(*worker)) else {
             return false;
         };
-        if !self.note_named(now, source, &id, list_number) {
+        if !record.note_named(now, list_number, trusted_from) {
+            let id = record.report.id.clone();
             self.recompute(&id, change);
         }
         true
@@ -67,10 +70,10 @@
         let mut change = MembershipChange::default();
         let trusting = &mut self.sources[source.0];
         let old = std::mem::replace(&mut trusting.trusted_from_list, number);
-        let records = trusting.records.iter();
-        let affected = records
-            .filter(|(_, record)| (record.list_number >= old) != (record.list_number >= number));
-        let ids: Vec<String> = affected.map(|(id, _)| id.clone()).collect();
+        let is_affected =
+            |record: &&SourceRecord| (record.list_number >= old) != (record.list_number >= number);
+        let affected = trusting.records.values().filter(is_affected);
+        let ids: Vec<String> = affected.map(|record| record.report.id.clone()).collect();
         for id in ids {
             self.recompute(&id, &mut change);
         }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -3,6 +3,7 @@
 use crate::precedence::MergedReport;
 use crate::{Membership, Status};
 use marbledeck_dispatcher::{Micros, WorkerState};
+use marbledeck_platform_settings::worker_id;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -35,17 +36,20 @@
 impl Membership {
     /// What operators are shown: each worker, which source reports what, and why it is in or out.
     pub fn views(&self, now: Micros) -> Vec<WorkerView> {
-        let ids: BTreeSet<&String> = self.published.keys().chain(&self.out_of_service).collect();
+        let published = self.published.values().map(|worker| &worker.id);
+        let ids: BTreeSet<&String> = published.chain(&self.out_of_service).collect();
         ids.into_iter().map(|id| self.view(now, id)).collect()
     }
 
     fn view(&self, now: Micros, id: &str) -> WorkerView {
-        let merged = self.merged(id);
-        let reports = self.records(id).map(|(source, record)| SourceStatus {
-            source: self.sources[source.0].name.clone(),
-            status: record.report.status,
-            age: now - record.reported_at,
-        });
+        let merged = self.merged(worker_id(id), id);
+        let reports = self
+            .records(worker_id(id))
+            .map(|(source, record)| SourceStatus {
+                source: self.sources[source.0].name.clone(),
+                status: record.report.status,
+                age: now - record.reported_at,
+            });
         let in_service = || {
             self.suspicion_text(now, id)
                 .unwrap_or_else(|| "in".to_owned())
@@ -68,7 +72,7 @@
     }
 
     fn suspicion_text(&self, now: Micros, id: &str) -> Option<String> {
-        self.records(id).find_map(|(source, record)| {
+        self.records(worker_id(id)).find_map(|(source, record)| {
             let suspicion = record.suspicion.as_ref()?;
             let name = &self.sources[source.0].name;
             let seconds = (now - suspicion.since).0 / 1_000_000;
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -521,9 +521,7 @@
         self.staleness.handle_answer();
         let mut change = MembershipChange::default();
         if header.is_complete {
-            let all = usize::MAX;
-            let (missing, _) = fleet.members.sweep_missing(now, self.source, None, all);
-            change.append(missing);
+            change.append(fleet.members.sweep_all_missing(now, self.source));
         }
         // After what is new: only those that are still named are trusted again.
         if std::mem::take(&mut self.is_distrusted) {
