Raise the bounds of handover, members, agreement and gossip to the largest fleet

Cause: sized by a small fleet: 1 MiB for the state of an upgrade (3,200 workers from two sources do not fit), 4,000 endpoints a source, 120 KiB of members for operators with no way to the rest, 300 nodes of an agreement, 4,096 remembered owners that any peer's ids could displace. Not run: an agreement of 900 processes.

--- a/crates/gossip/src/in_flight.rs
+++ b/crates/gossip/src/in_flight.rs
@@ -12,6 +12,9 @@
 /// The workers for which an owner keeps counts at most; counts for more are dropped, whoever sends them.
 pub const MAX_OWNED_WORKERS: usize = 4096;
 
+/// The workers whose owners a node remembers at most: those that it asks about or sends to.
+const MAX_CACHED_OWNERS: usize = 8192;
+
 /// What became of a query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QueryOutcome {
@@ -155,7 +158,7 @@
                 None
             }
             Message::Query { worker } => {
-                if self.owner(worker) == self.index {
+                if self.is_owner(self.index, worker) {
                     let in_flight = self.total_in_flight(now, worker);
                     let answer = Message::Answer { worker, in_flight };
                     self.outgoing.push_back((from, answer));
@@ -164,7 +167,7 @@
             }
             Message::Answer { worker, in_flight } => {
                 // Only the owner knows.
-                let is_from_owner = self.owner(worker) == from;
+                let is_from_owner = self.is_owner(from, worker);
                 is_from_owner.then_some(LoadAnswer { worker, in_flight })
             }
         }
@@ -173,7 +176,7 @@
     fn receive_count(&mut self, now: Micros, from: usize, worker: u32, count: ForeignCount) {
         let has_capacity =
             self.foreign.len() < MAX_OWNED_WORKERS || self.foreign.contains_key(&worker);
-        if !has_capacity || self.owner(worker) != self.index {
+        if !has_capacity || !self.is_owner(self.index, worker) {
             return;
         }
         let counts = self.foreign.entry(worker).or_default();
@@ -251,8 +254,16 @@
         Some((foreign + u32::from(own)).min(u32::from(MAX_COUNT)) as u8)
     }
 
+    /// Whether this node owns the count of a worker that another node names. Nothing is remembered of it: whatever
+    /// ids others send, the owners of this node's own workers stay known.
+    fn is_owner(&self, node: usize, worker: u32) -> bool {
+        let known = self.owners.get(&worker).copied();
+        node == self.index && self.foreign.contains_key(&worker)
+            || known.unwrap_or_else(|| owner_of(worker, self.nodes)) == node
+    }
+
     fn owner(&mut self, worker: u32) -> usize {
-        if self.owners.len() >= MAX_OWNED_WORKERS {
+        if self.owners.len() >= MAX_CACHED_OWNERS {
             self.owners.clear();
         }
         let nodes = self.nodes;
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -36,12 +36,19 @@
 impl Membership {
     /// What operators are shown: each worker, which source reports what, and why it is in or out.
     pub fn views(&self, now: Micros) -> Vec<WorkerView> {
-        let published = self.published.values().map(|worker| &worker.id);
-        let ids: BTreeSet<&String> = published.chain(&self.out_of_service).collect();
+        let ids = self.viewed_ids();
         ids.into_iter().map(|id| self.view(now, id)).collect()
     }
 
-    fn view(&self, now: Micros, id: &str) -> WorkerView {
+    /// The ids of all workers that operators are shown, in order.
+    pub fn viewed_ids(&self) -> BTreeSet<&str> {
+        let published = self.published.values().map(|worker| worker.id.as_str());
+        let out_of_service = self.out_of_service.iter().map(String::as_str);
+        published.chain(out_of_service).collect()
+    }
+
+    /// What operators are shown of one worker.
+    pub fn view(&self, now: Micros, id: &str) -> WorkerView {
         let merged = self.merged(worker_id(id), id);
         let reports = self
             .records(worker_id(id))
--- a/crates/node/src/admin/call.rs
+++ b/crates/node/src/admin/call.rs
@@ -7,8 +7,8 @@
     Check,
     /// The node's counters and gauges.
     Vars,
-    /// Each worker, and which source reports what of it.
-    Members,
+    /// Each worker, and which source reports what of it: from the first one on, or from the one after this id.
+    Members(Option<String>),
     /// Take the worker of this id out of service.
     SetDown(String),
     /// The worker of this id may serve again.
@@ -58,7 +58,8 @@
         match words[..] {
             ["check"] => Ok(Call::Check),
             ["vars"] => Ok(Call::Vars),
-            ["members"] => Ok(Call::Members),
+            ["members"] => Ok(Call::Members(None)),
+            ["members", "after", id] => Ok(Call::Members(Some(id.to_owned()))),
             ["records"] => Ok(Call::Records),
             ["set-down", id] => Ok(Call::SetDown(id.to_owned())),
             ["set-up", id] => Ok(Call::SetUp(id.to_owned())),
--- a/crates/node/src/admin/figures.rs
+++ b/crates/node/src/admin/figures.rs
@@ -3,27 +3,37 @@
 
 use crate::core::Core;
 use crate::fleet::FleetCounts;
-use marbledeck_dispatcher::WorkerState;
-use marbledeck_membership::WorkerView;
+use marbledeck_dispatcher::{Micros, WorkerState};
+use marbledeck_membership::{Membership, WorkerView};
 use std::fmt::Write;
+use std::ops::Bound::{Excluded, Unbounded};
 
-/// Workers are described until the text has this many bytes: as much as fits an answer.
+/// Workers are described until the text has this many bytes: as much as fits an answer. The rest is asked for anew.
 const MAX_MEMBERS_TEXT: usize = 120 * 1024;
+/// Stands before the last worker of an answer that is not the last one: the call for the next ones names it.
+pub const NEXT_MEMBERS: &str = "; next: members after ";
 const MICROS_PER_SECOND: u64 = 1_000_000;
 
 /// Each worker in a line: in or out, where it is, why, and what each source reports and how many seconds ago it did.
-/// The last line has how many there are.
-pub fn describe_members(views: &[WorkerView]) -> String {
-    let (mut text, mut shown) = (String::new(), 0);
-    for view in views {
+/// The last line has how many there are, and how to ask for the next ones where they are more than fit an answer.
+///
+/// Begins with the first worker after this id, or with the first of all.
+pub fn describe_members(now: Micros, members: &Membership, after: Option<&str>) -> String {
+    let ids = members.viewed_ids();
+    let from = after.map_or(Unbounded, Excluded);
+    let (mut text, mut shown, mut last) = (String::new(), 0, None);
+    for id in ids.range::<str, _>((from, Unbounded)) {
         if text.len() > MAX_MEMBERS_TEXT {
             break;
         }
-        describe_member(view, &mut text);
-        shown += 1;
+        describe_member(&members.view(now, id), &mut text);
+        (shown, last) = (shown + 1, Some(*id));
+    }
+    let _ = write!(text, "-- {shown} of {}", ids.len());
+    match last.filter(|last| ids.last() != Some(last)) {
+        Some(last) => text + NEXT_MEMBERS + last + "\n",
+        None => text + "\n",
     }
-    let _ = writeln!(text, "-- {shown} of {}", views.len());
-    text
 }
 
 fn describe_member(view: &WorkerView, text: &mut String) {
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -8,7 +8,7 @@
 mod figures;
 
 pub use call::{Call, CallError};
-pub use figures::{describe_figures, describe_members};
+pub use figures::{describe_figures, describe_members, NEXT_MEMBERS};
 
 use crate::clock::millis;
 use crate::net::{Net, Peer, Token};
--- a/crates/node/src/consensus/config.rs
+++ b/crates/node/src/consensus/config.rs
@@ -17,7 +17,8 @@
 const POLLS_PER_LEASE: u64 = 6;
 /// The part of a lease that a voter may take for an answer, so that another can be asked in time.
 const ANSWERS_PER_LEASE: u64 = 3;
-const MAX_NODES: usize = 300;
+/// The largest fleet. A voter holds a descriptor for each of its nodes.
+const MAX_NODES: usize = 900;
 const MAX_FLEET_NAME: usize = 128;
 /// Descriptors that consensus holds besides its connections.
 const OWN_DESCRIPTORS: usize = 4;
--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -1,5 +1,6 @@
 //! The endpoint list as discovery writes it, and the reports that it stands for.
 
+use super::MAX_WORKERS;
 use crate::clock::Clock;
 use marbledeck_dispatcher::CellId;
 use marbledeck_membership::{ListedReport, Membership, SourceReport, Status};
@@ -12,8 +13,6 @@
 const UP: &str = "up";
 /// The phase of a worker that finishes what it has.
 const DRAINING: &str = "draining";
-/// So many endpoints of a source surely fit into what is passed on to a successor.
-const MAX_ENDPOINTS_PER_SOURCE: usize = 4000;
 /// The names of the sources that a successor has by itself, or is passed in another way.
 const OWN_SOURCES: [&str; 2] = ["directory", "static"];
 
@@ -119,7 +118,7 @@
         if OWN_SOURCES.contains(&name) {
             continue;
         }
-        let reports = members.reports(source).take(MAX_ENDPOINTS_PER_SOURCE);
+        let reports = members.reports(source).take(MAX_WORKERS);
         entries.insert(name.to_owned(), reports.map(EndpointEntry::from).collect());
     }
     entries
--- a/crates/node/src/handover/connect.rs
+++ b/crates/node/src/handover/connect.rs
@@ -1,7 +1,7 @@
 //! The start of a process that may replace another: it connects to the socket where that one would listen, and takes
 //! over its listeners and its state.
 
-use super::HEAD_LENGTH;
+use super::{HEAD_LENGTH, MAX_STATE_LENGTH};
 use crate::net::PASSED;
 use rustix::fd::OwnedFd;
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
@@ -14,8 +14,6 @@
 
 /// How long the running process may take to answer: one that hangs must not keep the new one from serving.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
-/// The longest state, in bytes.
-const MAX_STATE_LENGTH: usize = 1 << 20;
 /// A read timeout of zero would stand for none.
 const MIN_READ_TIMEOUT: Duration = Duration::from_millis(1);
 
--- a/crates/node/src/handover/mod.rs
+++ b/crates/node/src/handover/mod.rs
@@ -21,6 +21,11 @@
 
 /// The state begins with its length: eight hexadecimal digits and a line's end.
 const HEAD_LENGTH: usize = 9;
+/// The longest state, in bytes: the lists of the largest fleet from several sources, several times over.
+const MAX_STATE_LENGTH: usize = 8 * 1024 * 1024;
+/// What a link between two processes holds each way: the state with its head, or a job with its input and its result,
+/// both escaped.
+pub const LINK_BUFFER: usize = MAX_STATE_LENGTH + 4096;
 /// Messages for a partner wait while more bytes than this are still to be sent to it.
 const MAX_BACKLOG: usize = 64 * 1024;
 /// Only the node's own user may connect.
@@ -125,6 +130,7 @@
         net: &mut Net,
     ) {
         let body = serde_json::to_string(state).unwrap_or_default();
+        log::debug!("handover: a state of {} bytes", body.len());
         let message = format!("{:08x}\n{body}", body.len());
         if let Err(e) = net.send_listeners(successor, message.as_bytes(), listeners) {
             log::warn!("handover: {e}");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,3 +25,5 @@
 mod service;
 mod submission;
 mod workers;
+
+pub use admin::NEXT_MEMBERS;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,7 +7,8 @@
 use marbledeck_node::config::{ConfigError, NodeConfig, OperatorConfig, SubmissionConfig};
 use marbledeck_node::logger;
 use marbledeck_node::node::{Node, Signals, StartError};
-use std::io::{self, Write};
+use marbledeck_node::NEXT_MEMBERS;
+use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
@@ -163,10 +164,21 @@
 
 /// Asks a node's operations address for its workers.
 fn print_members(address: &str) -> Result<(), RunError> {
-    let mut stream = TcpStream::connect(address)?;
-    stream.write_all(b"members\n")?;
-    io::copy(&mut stream, &mut io::stdout())?;
-    Ok(())
+    let mut call = "members".to_owned();
+    loop {
+        let mut stream = TcpStream::connect(address)?;
+        stream.write_all(format!("{call}\n").as_bytes())?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        let Some((page, next)) = answer.rsplit_once(NEXT_MEMBERS) else {
+            print!("{answer}");
+            return Ok(());
+        };
+        // The line that counts the workers is that of the last answer.
+        let lines = page.rsplit_once('\n').map_or("", |(lines, _)| lines);
+        println!("{lines}");
+        call = format!("members after {}", next.trim_end());
+    }
 }
 
 fn print_completions(shell: clap_complete::Shell) {
--- a/crates/node/src/net/sockets.rs
+++ b/crates/node/src/net/sockets.rs
@@ -3,6 +3,7 @@
 use super::conn::{Connection, State};
 use super::http::MAX_HEAD;
 use super::{Net, Peer, Slot, Socket, Token};
+use crate::handover::LINK_BUFFER;
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::fd::{AsFd, OwnedFd};
 use rustix::io::Errno;
@@ -21,8 +22,6 @@
 const RING: usize = 192 * 1024;
 /// What is held of what a client sends: its longest head. Bodies are taken out as they come.
 const CLIENT_INPUT_RING: usize = MAX_HEAD + 4096;
-/// What a link between two processes of the node holds: a job with its input and its result, both escaped.
-const PARTNER_RING: usize = 1024 * 1024;
 
 /// The most listeners passed to another process at a time: the clients' and the submitters'.
 pub const PASSED: usize = 2;
@@ -69,7 +68,7 @@
     /// # Errors
     /// It cannot be polled.
     pub fn add_connection(&mut self, fd: OwnedFd, peer: Peer) -> io::Result<Token> {
-        let conn = Connection::new(fd, State::Open, PARTNER_RING, PARTNER_RING);
+        let conn = Connection::new(fd, State::Open, LINK_BUFFER, LINK_BUFFER);
         self.insert(peer, Socket::Stream(Box::new(conn)))
     }
 
@@ -131,7 +130,7 @@
         let _ = sockopt::set_tcp_nodelay(&fd, true);
         let (input, output) = match peer {
             Peer::Client => (CLIENT_INPUT_RING, RING),
-            Peer::Partner => (PARTNER_RING, PARTNER_RING),
+            Peer::Partner => (LINK_BUFFER, LINK_BUFFER),
             _ => (RING, RING),
         };
         let mut conn = Connection::new(fd, State::Open, input, output);
--- a/crates/node/src/node/operators.rs
+++ b/crates/node/src/node/operators.rs
@@ -18,8 +18,9 @@
                 let text = admin::describe_figures(core, counts);
                 return self.send_to_operator(caller, &text);
             }
-            Call::Members => {
-                let text = admin::describe_members(&self.context.fleet.members.views(now));
+            Call::Members(after) => {
+                let members = &self.context.fleet.members;
+                let text = admin::describe_members(now, members, after.as_deref());
                 return self.send_to_operator(caller, &text);
             }
             Call::SetDown(id) => self.set_out_of_service(now, id, true),
--- a/crates/node/tests/golden/operator_file.rs
+++ b/crates/node/tests/golden/operator_file.rs
@@ -104,7 +104,7 @@
     ("[eureka.register]", "renew_s", 1, 3600),
     ("[[static]]", "cell", 0, 4_294_967_295),
     ("[agreement]", "node", 1, 299),
-    ("[agreement]", "nodes", 3, 300),
+    ("[agreement]", "nodes", 3, 900),
     ("[agreement]", "lease_ms", 3300, 60_000),
     ("[agreement]", "tick_ms", 10, 110),
     ("[[agreement.voters]]", "number", 1, 299),
--- a/crates/node/tests/large_lists.rs
+++ b/crates/node/tests/large_lists.rs
@@ -167,3 +167,30 @@
     environment.wait_for_member("w1", is_drained);
     assert_eq!(started(&environment), [0, 0]);
 }
+
+/// A process that takes over knows all workers of its predecessor at once, though discovery is down, and so do operators.
+#[test]
+fn a_list_of_thousands_of_workers_outlives_an_upgrade() {
+    let mut environment = two_workers();
+    list_large_fleet(&environment.discovery, &[], &[]);
+    environment.wait_for_member("z-03199", is_drained);
+    environment.discovery.set_down(true);
+    environment.start_successor();
+    environment.wait_for_member("z-03199", is_drained);
+    let members = environment.members();
+    assert_eq!(members.len(), 2 + WORKERS);
+    let drained = members.iter().filter(|line| is_drained(Some(line)));
+    assert_eq!(drained.count(), WORKERS);
+    assert!(environment.has_logged("takes over from a process that runs"));
+}
+
+/// A process that starts from its file alone knows what the file lists.
+#[test]
+fn a_list_of_thousands_of_workers_in_the_file_is_used() {
+    let environment = TestEnvironment::start_with(EnvironmentOptions::default(), |discovery| {
+        list_large_fleet(discovery, &[], &[]);
+        discovery.set_down(true);
+    });
+    assert_eq!(environment.members().len(), 3 + WORKERS);
+    assert_eq!(run_job(&environment, "job-1"), JobEnd::Served);
+}
--- a/crates/test-support/src/environment.rs
+++ b/crates/test-support/src/environment.rs
@@ -234,14 +234,29 @@
 
     /// What the node tells of its workers, a line each.
     pub fn members(&self) -> Vec<String> {
+        let mut lines: Vec<String> = Vec::new();
+        let mut call = "members".to_owned();
+        loop {
+            let page = self.read_admin(&call);
+            let page = page.lines().filter(|line| !line.starts_with("--"));
+            lines.extend(page.map(str::to_owned));
+            let last = lines.last().and_then(|line| line.split(' ').next());
+            match last.map(|last| format!("members after {last}")) {
+                Some(next) if next != call => call = next,
+                _ => return lines,
+            }
+        }
+    }
+
+    /// All that a node answers to a call of an operator.
+    fn read_admin(&self, call: &str) -> String {
         use std::io::{Read, Write};
         let mut text = String::new();
         if let Ok(mut stream) = std::net::TcpStream::connect(&self.admin_address) {
-            let said = stream.write_all(b"members\n");
+            let said = stream.write_all(format!("{call}\n").as_bytes());
             let _ = said.and_then(|()| stream.read_to_string(&mut text).map(drop));
         }
-        let lines = text.lines().filter(|line| !line.starts_with("--"));
-        lines.map(str::to_owned).collect()
+        text
     }
 
     /// Waits until the line of a worker is so; none for one that has none.
