--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -85,7 +85,7 @@
 pub enum WaitFinding {
     /// Nothing has come there.
     Nothing,
-    /// Something has, or may have: there were more events than one wait reports.
+    /// Something has, or may have: the wait was interrupted, or there were more events than one reports.
     Something,
 }
 
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 
 /// Events handled in one turn; the rest come in the next, after the timers.
-pub const MAX_EVENTS: usize = 128;
+const MAX_EVENTS: usize = 128;
 /// The peer sends nothing more, whether or not all that it sent is read.
 const ENDED: EventFlags = EventFlags::RDHUP
     .union(EventFlags::HUP)
@@ -224,7 +224,15 @@
             .map(|slot| PollFd::new(slot.socket.fd(), PollFlags::RDHUP))
             .collect();
         let at_once = Timespec::default();
-        if rustix::event::poll(&mut polled, Some(&at_once)).is_err() {
+        // Interrupted, it has looked at nothing.
+        let looked_at = loop {
+            match rustix::event::poll(&mut polled, Some(&at_once)) {
+                Err(Errno::INTR) => {}
+                result => break result,
+            }
+        };
+        if let Err(error) = looked_at {
+            log::error!("poll: {error}");
             return Vec::new();
         }
         let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
@@ -304,23 +312,29 @@
     }
 
     /// Waits until something happens, until this deadline at the latest, and adds on which sockets to `events`. Each is to be
-    /// handed to [`Net::process_event`].
-    pub fn wait(&mut self, now: Micros, deadline: Option<Micros>, events: &mut Vec<SocketEvent>) {
+    /// handed to [`Net::process_event`]. Returns whether these are all on which something has happened: there may be
+    /// more than are reported at once, and an interrupted wait reports none.
+    pub fn wait(
+        &mut self,
+        now: Micros,
+        deadline: Option<Micros>,
+        events: &mut Vec<SocketEvent>,
+    ) -> bool {
         self.now = now;
         let linger = self.lingering.front().map(|lingering| lingering.deadline);
         let deadline = [deadline, linger].into_iter().flatten().min();
         let timeout = deadline.map(|deadline| timespec(deadline - now));
         let mut received = Vec::with_capacity(MAX_EVENTS);
         let buffer = rustix::buffer::spare_capacity(&mut received);
-        if let Err(error) = epoll::wait(&self.epoll, buffer, timeout.as_ref()) {
-            if error != Errno::INTR {
-                log::error!("epoll: {error}");
-            }
+        let waited = epoll::wait(&self.epoll, buffer, timeout.as_ref());
+        if let Some(error) = waited.err().filter(|error| *error != Errno::INTR) {
+            log::error!("epoll: {error}");
         }
         events.extend(received.iter().map(|event| SocketEvent {
             token: Token(event.data.u64()),
             flags: event.flags,
         }));
+        waited.is_ok() && received.len() < MAX_EVENTS
     }
 
     /// Reads a connection on which something has happened, as far as it goes in one turn, and returns who is to handle
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -23,7 +23,7 @@
 use crate::context::Context;
 use crate::discovery::WaitFinding;
 use crate::handover::Handover;
-use crate::net::{Peer, Ready, SocketEvent, Token, MAX_EVENTS};
+use crate::net::{Peer, Ready, SocketEvent, Token};
 use crate::placement::ForwardedJobs;
 use crate::service::Service;
 use limits::SharedLimits;
@@ -92,13 +92,13 @@
         let from = self.clock.now();
         let next_wake = self.next_wake();
         let Context { net, discovery, .. } = &mut self.context;
-        net.wait(from, next_wake, events);
+        let are_all = net.wait(from, next_wake, events);
         let awaited = discovery.awaited();
         let is_awaited = |event: &SocketEvent| Some(event.token()) == awaited;
-        let found = if events.len() >= MAX_EVENTS || events.iter().any(is_awaited) {
-            WaitFinding::Something
-        } else {
+        let found = if are_all && !events.iter().any(is_awaited) {
             WaitFinding::Nothing
+        } else {
+            WaitFinding::Something
         };
         discovery.note_wait(from, self.clock.now(), found);
     }
