Soak the drain rule with thousands of workers; judge listed starts by the own clock

Change: drain_soak.rs, seeded: 2,400 workers, all forms and paces of lists, discovery down, hold-ups, starvation, SIGHUP, SIGTERM to the earliest kill, SIGKILL, a crowd. A start that is news is neither in the future nor before the last complete list, where it is older than 6 s. streamed_list.rs tests digests, trust, starts and many workers at one address.

--- a/crates/eureka/src/instance.rs
+++ b/crates/eureka/src/instance.rs
@@ -137,6 +137,7 @@
             zone: of(&keys.zone).cloned().unwrap_or_default(),
             kind: of(&keys.kind).cloned().unwrap_or_default(),
             cell: rack.map(|rack| CellId(rack.parse().unwrap_or_else(|_| hash_of(rack)))),
+            listed_start: None,
             started_at: (self.up_since_ms > 0)
                 .then(|| Micros(self.up_since_ms.saturating_mul(1000))),
             version: self.last_dirty_ms,
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -54,6 +54,8 @@
     pub probe_window: ProbeWindow,
     /// The list that is being read: records of an earlier one are missing in it.
     pub list_number: u64,
+    /// When its list was last known completely; none where it never was.
+    pub completed_at: Option<Micros>,
     /// Reports of an earlier list are not new enough to send by.
     pub trusted_from_list: u64,
     /// The workers, by the digests of the texts that their reports were read from.
@@ -70,6 +72,7 @@
             silent_at: None,
             probe_window: ProbeWindow::default(),
             list_number: 0,
+            completed_at: None,
             trusted_from_list: 0,
             workers_by_digest: HashMap::default(),
         }
--- a/crates/membership/src/source_report.rs
+++ b/crates/membership/src/source_report.rs
@@ -54,6 +54,8 @@
     pub cell: Option<CellId>,
     /// When its process last started; none if long ago.
     pub started_at: Option<Micros>,
+    /// When its process last started by the clock of a list, where that differs: the machines' clocks may be stepped.
+    pub listed_start: Option<Micros>,
     /// Counts up with each change of what the source reports of it, in the source's own way; 0 where it does not count.
     pub version: u64,
 }
--- a/crates/membership/src/streamed_list.rs
+++ b/crates/membership/src/streamed_list.rs
@@ -25,14 +25,27 @@
     pub kind: &'a str,
     /// Its cell.
     pub cell: Option<CellId>,
-    /// When its process last started; none if long ago.
+    /// When its process last started, by the list's clock; none if long ago.
     pub started_at: Option<Micros>,
 }
 
+/// A start that is told by an answer should be no older than this: by then, discovery counts as having told it.
+const PLAUSIBLE_START_AGE: Micros = Micros(6_000_000);
+
+/// When a worker started by this process's clock, where a list that is heard at `now` tells it for the first time, and
+/// the list before was complete at `completed_at`. The machines' clocks may be hours apart once one was stepped: a start
+/// lies not in the future, nor in a time for which the list before already spoke.
+fn plausible_start(listed: Micros, now: Micros, completed_at: Option<Micros>) -> Micros {
+    let is_old = now - listed > PLAUSIBLE_START_AGE;
+    let earliest = completed_at.filter(|_| is_old).unwrap_or(Micros(0));
+    listed.max(earliest).min(now)
+}
+
 impl ListedReport<'_> {
     /// The same with texts of its own.
     pub fn to_report(&self) -> SourceReport {
         SourceReport {
+            listed_start: self.started_at,
             id: self.id.to_owned(),
             address: self.address,
             status: self.status,
@@ -44,14 +57,15 @@
         }
     }
 
-    /// Brings an earlier report on the worker up to date. Returns whether anything has changed.
-    fn update(&self, known: &mut SourceReport) -> bool {
+    /// Brings an earlier report on the worker up to date; `start` is when it started by this process's clock, should
+    /// that be news. Returns whether anything has changed.
+    fn update(&self, known: &mut SourceReport, start: Option<Micros>) -> bool {
         let is_same = known.address == self.address
             && known.status == self.status
             && known.zone == self.zone
             && known.kind == self.kind
             && known.cell == self.cell
-            && known.started_at == self.started_at;
+            && known.listed_start == self.started_at;
         if is_same {
             return false;
         }
@@ -60,7 +74,10 @@
         self.zone.clone_into(&mut known.zone);
         self.kind.clone_into(&mut known.kind);
         known.cell = self.cell;
-        known.started_at = self.started_at;
+        if known.listed_start != self.started_at {
+            known.listed_start = self.started_at;
+            known.started_at = start;
+        }
         true
     }
 }
@@ -104,13 +121,26 @@
         change: &mut MembershipChange,
     ) {
         let worker = worker_id(report.id);
-        let records = &self.sources[source.0].records;
-        if records.get_worker(worker).is_none() {
-            return self.add_report(now, source, report.to_report(), digest, change);
+        let naming = &self.sources[source.0];
+        let start = report.started_at;
+        let start = start.map(|listed| plausible_start(listed, now, naming.completed_at));
+        if naming.records.get_worker(worker).is_none() {
+            let report = SourceReport {
+                started_at: start,
+                ..report.to_report()
+            };
+            return self.add_report(now, source, report, digest, change);
         }
         let id = report.id;
         let named = NamedWorker { worker, id, digest };
-        self.update_report(now, source, named, change, |known| report.update(known));
+        self.update_report(now, source, named, change, |known| {
+            report.update(known, start)
+        });
+    }
+
+    /// The list that was begun was read to its end: all that the source had until then is known.
+    pub fn note_list_complete(&mut self, now: Micros, source: SourceId) {
+        self.sources[source.0].completed_at = Some(now);
     }
 
     /// The list that was begun says that a worker has left.
--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -100,7 +100,10 @@
             kind: report.kind.clone(),
             cell: report.cell.map(|cell| cell.0),
             phase: phase.to_owned(),
-            up_since_ms: report.started_at.map_or(0, |started| started.0 / 1000),
+            up_since_ms: report
+                .listed_start
+                .or(report.started_at)
+                .map_or(0, |started| started.0 / 1000),
         }
     }
 }
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -519,6 +519,7 @@
         );
         self.revision = revision;
         self.staleness.handle_answer();
+        fleet.members.note_list_complete(now, self.source);
         let mut change = MembershipChange::default();
         if header.is_complete {
             change.append(fleet.members.sweep_all_missing(now, self.source));
--- /dev/null
+++ b/crates/node/tests/drain_soak.rs
@@ -0,0 +1,419 @@
+//! A seeded soak: a node with thousands of listed workers and clients that never rest, while workers drain and come back
+//! by the hundreds, lists come in all forms and at all paces, discovery goes down and returns, and the node is stopped for
+//! moments, starved of processor time, reloaded, ended and killed. No request may begin at a worker after the grace of its
+//! drain, no process may fail, and whatever is taken is answered in time.
+//!
+//! `MARBLEDECK_SOAK_SEEDS=1..51 cargo test --release -p marbledeck-node --test drain_soak -- --nocapture` is a long run.
+
+use marbledeck_test_support::{
+    AnswerForm, Delivery, DiscoveryStub, EnvironmentOptions, JobClient, ListedEndpoint,
+    TestEnvironment, WorkerCrowd,
+};
+use rustix::process::{kill_process, Pid, Signal};
+use std::ops::Range;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, JoinHandle};
+use std::time::{Duration, Instant};
+
+const WORKERS: usize = 2400;
+const CLIENTS: usize = 6;
+const IDLE_CONNECTIONS: usize = 150;
+/// How long one seed is played.
+const LENGTH: Duration = Duration::from_secs(9);
+/// The drain's grace, and the platform's slack for sockets.
+const GRACE: Duration = Duration::from_millis(450);
+const TIME_LEFT: Duration = Duration::from_millis(2000);
+/// An answer that comes so much later is lost by the platform's rule.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// SIGKILL comes no sooner after SIGTERM: the longest deadline, counted as 3 s, and 0.7 s.
+const KILL_AFTER: Duration = Duration::from_millis(3700);
+/// A machine that lets a thread sleep for longer than this has stood still.
+const STALL: Duration = Duration::from_millis(20);
+
+/// A small generator (SplitMix64): the same steps for the same seed.
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let x = (self.0 ^ self.0 >> 30).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        let x = (x ^ x >> 27).wrapping_mul(0x94D0_49BB_1331_11EB);
+        x ^ x >> 31
+    }
+
+    fn below(&mut self, limit: usize) -> usize {
+        (self.next() % limit as u64) as usize
+    }
+
+    fn millis(&mut self, range: Range<usize>) -> Duration {
+        let length = range.len();
+        Duration::from_millis((range.start + self.below(length)) as u64)
+    }
+}
+
+/// How long this machine has stood still, moment by moment: what stands still here, a worker's clock among it, shows
+/// nothing of the node.
+#[derive(Clone, Default)]
+struct StallMeter(Arc<Mutex<Vec<(Instant, Duration)>>>);
+
+impl StallMeter {
+    fn start(stop: Arc<AtomicBool>) -> Self {
+        let meter = StallMeter::default();
+        let found = meter.clone();
+        std::thread::spawn(move || {
+            while !stop.load(Ordering::SeqCst) {
+                let before = Instant::now();
+                sleep(Duration::from_millis(2));
+                let stall = before.elapsed();
+                if stall > STALL {
+                    found.0.lock().expect("no panic").push((before, stall));
+                }
+            }
+        });
+        meter
+    }
+
+    fn between(&self, from: Instant, to: Instant) -> Duration {
+        let found = self.0.lock().expect("no panic");
+        let within = found.iter().filter(|(at, _)| *at >= from && *at <= to);
+        within.map(|(_, stall)| *stall).sum()
+    }
+}
+
+/// What the clients have seen.
+#[derive(Default)]
+struct Tally {
+    served: AtomicUsize,
+    rejected: AtomicUsize,
+    failed: AtomicUsize,
+    /// Broken off by the end of a process.
+    crossed: AtomicUsize,
+    faults: Mutex<Vec<String>>,
+}
+
+/// What all threads of a run share.
+struct Run {
+    stop: Arc<AtomicBool>,
+    /// Odd while a process ends or starts.
+    restarts: AtomicU64,
+    tally: Tally,
+    stalls: StallMeter,
+}
+
+impl Run {
+    fn fault(&self, fault: String) {
+        self.tally.faults.lock().expect("no panic").push(fault);
+    }
+
+    fn is_over(&self) -> bool {
+        self.stop.load(Ordering::SeqCst)
+    }
+
+    /// A client that hands in one job after the other, and leaves now and then.
+    fn client(&self, number: usize, address: &str, mut random: Random) {
+        let mut connection = None;
+        for job in 0.. {
+            if self.is_over() {
+                return;
+            }
+            sleep(random.millis(1..30));
+            if random.below(20) == 0 {
+                connection = None;
+            }
+            let restarts = self.restarts.load(Ordering::SeqCst);
+            let Ok(mut client) = connection
+                .take()
+                .map_or_else(|| JobClient::connect(address), Ok)
+            else {
+                continue;
+            };
+            let began = Instant::now();
+            let txn = format!("{number}-{job}");
+            let answer = client.run(&txn, TIME_LEFT.as_millis() as u64);
+            let unsettled = restarts % 2 == 1 || self.restarts.load(Ordering::SeqCst) != restarts;
+            self.count(&txn, began, answer.as_ref().ok().copied(), unsettled);
+            connection = Some(client).filter(|client| answer.is_ok() && !client.is_closing());
+        }
+    }
+
+    fn count(&self, txn: &str, began: Instant, status: Option<u16>, unsettled: bool) {
+        let took = began.elapsed();
+        let allowed = TIME_LEFT + ANSWER_SLACK + self.stalls.between(began, Instant::now());
+        let counter = match status {
+            Some(200) => &self.tally.served,
+            Some(429 | 503) => &self.tally.rejected,
+            Some(_) => &self.tally.failed,
+            None if unsettled => &self.tally.crossed,
+            None => return self.fault(format!("{txn}: no answer after {took:?}")),
+        };
+        counter.fetch_add(1, Ordering::SeqCst);
+        if took > allowed && !unsettled {
+            self.fault(format!("{txn}: answered after {took:?}"));
+        }
+    }
+}
+
+/// One seed's play.
+struct Play<'a> {
+    random: Random,
+    environment: TestEnvironment,
+    crowd: &'a WorkerCrowd,
+    run: Arc<Run>,
+    log: Vec<String>,
+}
+
+impl Play<'_> {
+    fn list(&self, workers: &[usize], phase: &str) {
+        let ids: Vec<String> = workers.iter().map(|n| WorkerCrowd::id(*n)).collect();
+        let entries = ids.iter().zip(workers).map(|(id, n)| ListedEndpoint {
+            id,
+            address: self.crowd.addresses[*n],
+            phase,
+        });
+        let entries: Vec<ListedEndpoint> = entries.collect();
+        self.environment.discovery.set_workers(&entries);
+    }
+
+    /// One, a few, or a good part of the workers change.
+    fn change_workers(&mut self) {
+        let sizes = [1, 12, WORKERS * 15 / 100, WORKERS * 6 / 10];
+        let size = sizes[self.random.below(sizes.len())];
+        let first = self.random.below(WORKERS);
+        let workers: Vec<usize> = (first..first + size).map(|n| n % WORKERS).collect();
+        let phase = ["draining", "removed", "up", "up"][self.random.below(4)];
+        self.log.push(format!("{size} {phase}"));
+        self.list(&workers, phase);
+    }
+
+    /// Answers come in another form and way.
+    fn change_answers(&mut self) {
+        let forms = [
+            AnswerForm::Compact,
+            AnswerForm::Indented,
+            AnswerForm::Chunked,
+        ];
+        let form = forms[self.random.below(forms.len())];
+        let delivery = match self.random.below(8) {
+            0 | 1 => Delivery::Paced {
+                bytes: 1 + self.random.below(24_000),
+                pause: self.random.millis(1..60),
+            },
+            2 => Delivery::CutAfter(self.random.below(60_000)),
+            3 => Delivery::StopAfter(self.random.below(60_000)),
+            _ => Delivery::AtOnce,
+        };
+        self.log.push(format!("{form:?} {delivery:?}"));
+        let discovery = &self.environment.discovery;
+        discovery.set_answers(form, delivery);
+        discovery.set_whole_lists(self.random.below(3) == 0);
+        if self.random.below(2) == 0 {
+            discovery.resume();
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = Pid::from_raw(self.environment.process_id() as i32).expect("a process");
+        kill_process(id, signal).expect("it runs");
+    }
+
+    /// The node is held up for as long as the platform may.
+    fn hold_up(&mut self) {
+        let span = self.random.millis(20..150);
+        self.log.push(format!("held up for {span:?}"));
+        self.signal(Signal::STOP);
+        sleep(span);
+        self.signal(Signal::CONT);
+    }
+
+    /// The node has a small part of a processor for a while.
+    fn starve(&mut self) {
+        let end = Instant::now() + self.random.millis(300..1200);
+        self.log.push("starved".to_owned());
+        while Instant::now() < end {
+            self.signal(Signal::STOP);
+            sleep(Duration::from_millis(18));
+            self.signal(Signal::CONT);
+            sleep(Duration::from_millis(2));
+        }
+    }
+
+    fn restart(&mut self, gracefully: bool) {
+        self.log.push(format!("restart, gracefully: {gracefully}"));
+        self.run.restarts.fetch_add(1, Ordering::SeqCst);
+        let newest = self.random.below(2) == 0;
+        let known = self.environment.discovery.endpoint_list();
+        self.environment.set_known((!newest).then_some(known));
+        // What was seen is checked before the notices of this process are forgotten.
+        self.check_drains();
+        let began = Instant::now();
+        if gracefully {
+            let ended = self.environment.terminate_and_restart(KILL_AFTER);
+            let stalled = self.run.stalls.between(began, Instant::now());
+            if !ended && stalled.is_zero() {
+                self.run
+                    .fault("did not end by itself after SIGTERM".to_owned());
+            }
+        } else {
+            self.environment.crash_and_restart();
+        }
+        self.crowd.take_seen();
+        self.environment.discovery.forget_notices();
+        self.run.restarts.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn down(&mut self) {
+        let span = self.random.millis(200..1500);
+        self.log.push(format!("discovery down for {span:?}"));
+        self.environment.discovery.set_down(true);
+        sleep(span);
+        self.environment.discovery.set_down(false);
+    }
+
+    fn step(&mut self) {
+        match self.random.below(16) {
+            0..=5 => self.change_workers(),
+            6..=9 => self.change_answers(),
+            10 => self.environment.discovery.resume(),
+            11 => self.hold_up(),
+            12 => self.starve(),
+            13 => self.down(),
+            14 => self.signal(Signal::HUP),
+            _ if self.random.below(3) == 0 => {
+                let gracefully = self.random.below(2) == 0;
+                self.restart(gracefully);
+            }
+            _ => {}
+        }
+        self.check_drains();
+        sleep(self.random.millis(20..350));
+    }
+
+    /// No request begins at a worker after the grace of its drain.
+    fn check_drains(&self) {
+        let discovery: &DiscoveryStub = &self.environment.discovery;
+        for request in self.crowd.take_seen() {
+            let Some(notice) = discovery.notice(&WorkerCrowd::id(request.worker)) else {
+                continue;
+            };
+            let stalled = self.run.stalls.between(notice, request.first_byte_at);
+            let late = request.first_byte_at.saturating_duration_since(notice);
+            if late > GRACE + stalled {
+                let (worker, txn) = (request.worker, request.txn);
+                let stalled = format!("the machine stood still for {stalled:?}");
+                self.run.fault(format!(
+                    "drain: {txn} began at worker {worker} {late:?} after notice; {stalled}"
+                ));
+            }
+        }
+    }
+}
+
+/// A node whose file lists the whole crowd.
+fn start_node(crowd: &WorkerCrowd) -> TestEnvironment {
+    let options = EnvironmentOptions {
+        workers: 0,
+        memory_mb: 64,
+        sockets: 640,
+        ..EnvironmentOptions::default()
+    };
+    TestEnvironment::start_with(options, |discovery| {
+        let ids: Vec<String> = (0..WORKERS).map(WorkerCrowd::id).collect();
+        let entries = ids.iter().zip(crowd.addresses.iter());
+        let entries = entries.map(|(id, address)| ListedEndpoint {
+            id,
+            address: *address,
+            phase: "up",
+        });
+        discovery.set_workers(&entries.collect::<Vec<_>>());
+    })
+}
+
+/// Plays a seed. Returns what went wrong.
+fn play(seed: u64, crowd: &WorkerCrowd) -> Vec<String> {
+    let stop = Arc::new(AtomicBool::new(false));
+    let run = Arc::new(Run {
+        stop: stop.clone(),
+        restarts: AtomicU64::new(0),
+        tally: Tally::default(),
+        stalls: StallMeter::start(stop.clone()),
+    });
+    let environment = start_node(crowd);
+    crowd.take_seen();
+    let address = environment.client_address.clone();
+    let clients: Vec<JoinHandle<()>> = (0..CLIENTS)
+        .map(|number| {
+            let (run, address) = (run.clone(), address.clone());
+            let random = Random(seed << 16 | number as u64);
+            std::thread::spawn(move || run.client(number, &address, random))
+        })
+        .collect();
+    // Some runs have a crowd that holds connections and says nothing.
+    let idle = if seed.is_multiple_of(3) {
+        IDLE_CONNECTIONS
+    } else {
+        0
+    };
+    let idle: Vec<_> = (0..idle).map(|_| JobClient::connect(&address)).collect();
+    let mut play = Play {
+        random: Random(seed),
+        environment,
+        crowd,
+        run: run.clone(),
+        log: Vec::new(),
+    };
+    let end = Instant::now() + LENGTH;
+    while Instant::now() < end {
+        play.step();
+    }
+    play.environment.discovery.resume();
+    stop.store(true, Ordering::SeqCst);
+    for client in clients {
+        client.join().expect("a client panics");
+    }
+    play.check_drains();
+    drop(idle);
+    let counted = |counter: &AtomicUsize| counter.load(Ordering::SeqCst);
+    let tally = &run.tally;
+    println!(
+        "seed {seed}: served {} rejected {} failed {} crossed a restart {}, {} steps",
+        counted(&tally.served),
+        counted(&tally.rejected),
+        counted(&tally.failed),
+        counted(&tally.crossed),
+        play.log.len()
+    );
+    let faults = std::mem::take(&mut *tally.faults.lock().expect("no panic"));
+    if !faults.is_empty() {
+        println!("seed {seed}: {}", play.log.join("; "));
+    }
+    faults
+}
+
+/// The seeds to play: a few, or those that the environment names as `FROM..TO`.
+fn seeds() -> Range<u64> {
+    let named = std::env::var("MARBLEDECK_SOAK_SEEDS").ok();
+    let range = named.as_deref().and_then(|named| named.split_once(".."));
+    range.map_or(1..7, |(from, to)| {
+        let number = |text: &str| text.parse().expect("FROM..TO");
+        number(from)..number(to)
+    })
+}
+
+#[test]
+fn nothing_begins_at_a_drained_worker_whatever_happens_to_lists_and_processes() {
+    let crowd = WorkerCrowd::start(WORKERS);
+    let mut found = Vec::new();
+    let mut seeds_played = 0;
+    for seed in seeds() {
+        let faults = play(seed, &crowd);
+        seen.insert(seed);
+        found.extend(
+            faults
+                .into_iter()
+                .map(|fault| format!("seed {seed}: {fault}")),
+        );
+    }
+    println!("{seeds_played} seeds, {} faults", found.len());
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
--- a/crates/test-support/src/client.rs
+++ b/crates/test-support/src/client.rs
@@ -10,6 +10,8 @@
 /// A client with its connection.
 pub struct JobClient {
     stream: BufReader<TcpStream>,
+    /// The node has said that it closes the connection.
+    is_closing: bool,
 }
 
 impl JobClient {
@@ -21,8 +23,10 @@
         let stream = TcpStream::connect(address)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(READ_TIMEOUT))?;
-        let stream = BufReader::new(stream);
-        Ok(JobClient { stream })
+        Ok(JobClient {
+            stream: BufReader::new(stream),
+            is_closing: false,
+        })
     }
 
     /// Hands in a job of the class `preview`, and waits for its answer. Returns the status.
@@ -38,6 +42,11 @@
         self.read_answer()
     }
 
+    /// Whether the node has said that it closes the connection.
+    pub fn is_closing(&self) -> bool {
+        self.is_closing
+    }
+
     fn read_answer(&mut self) -> io::Result<u16> {
         let mut line = String::new();
         let (mut status, mut length) = (None, 0);
@@ -56,6 +65,8 @@
             if name.eq_ignore_ascii_case("Content-Length") {
                 length = value.trim().parse().unwrap_or(0);
             }
+            let is_close = value.trim().eq_ignore_ascii_case("close");
+            self.is_closing |= is_close && name.eq_ignore_ascii_case("Connection");
             if line == "\r\n" {
                 break;
             }
--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -210,6 +210,14 @@
         self.state().notices.get(id).copied()
     }
 
+    /// Forgets what was said before of workers that are not up: a new process has not heard it.
+    ///
+    /// # Panics
+    /// A thread has panicked before.
+    pub fn forget_notices(&self) {
+        self.state().notices.clear();
+    }
+
     /// The whole list in discovery's form.
     ///
     /// # Panics
--- a/crates/test-support/src/environment.rs
+++ b/crates/test-support/src/environment.rs
@@ -310,6 +310,37 @@
         }
     }
 
+    /// The list in the file of processes that are started from now on; the newest where none.
+    pub fn set_known(&mut self, known: Option<serde_json::Value>) {
+        self.options.known = known;
+    }
+
+    /// The process id of the node that was started last.
+    ///
+    /// # Panics
+    /// None was started.
+    pub fn process_id(&self) -> u32 {
+        self.processes.last().expect("started").id()
+    }
+
+    /// Has the node that was started last end by SIGTERM, and by SIGKILL after so long; then starts another at the same
+    /// addresses. Returns whether it has ended by itself, with status 0.
+    ///
+    /// # Panics
+    /// The node does not start.
+    pub fn terminate_and_restart(&mut self, kill_after: Duration) -> bool {
+        let last = self.processes.len() - 1;
+        self.signal(last, "-TERM");
+        let deadline = Instant::now() + kill_after;
+        let mut status = None;
+        while status.is_none() && Instant::now() < deadline {
+            status = self.processes[last].try_wait().ok().flatten();
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        self.crash_and_restart();
+        status.is_some_and(|status| status.success())
+    }
+
     /// Kills the node that was started last, and starts another at the same addresses.
     pub fn crash_and_restart(&mut self) {
         if let Some(mut child) = self.processes.pop() {
