Tell a worker the time that is left when a call leaves, and see a refused watch as held

Only a break after bytes have come is no held watch; only a break is asked again at once. A listed start of over two hours is old, not stepped.

--- a/crates/membership/src/streamed_list.rs
+++ b/crates/membership/src/streamed_list.rs
@@ -32,12 +32,16 @@
 /// A start that is told by an answer should be no older than this: by then, discovery counts as having told it.
 const PLAUSIBLE_START_AGE: Micros = Micros(6_000_000);
 
+/// A clock that is off by more was not stepped: the start is that old, and was not listed before.
+const MAX_CLOCK_STEP: Micros = Micros(2 * 3_600_000_000);
+
 /// When a worker started by this process's clock, where a list that is heard at `now` tells it for the first time, and
 /// the list before was complete at `completed_at`. The machines' clocks may be hours apart once one was stepped: a start
 /// lies not in the future, nor in a time for which the list before already spoke.
 fn plausible_start(listed: Micros, now: Micros, completed_at: Option<Micros>) -> Micros {
-    let is_old = now - listed > PLAUSIBLE_START_AGE;
-    let earliest = completed_at.filter(|_| is_old).unwrap_or(Micros(0));
+    let age = now - listed;
+    let is_stepped = age > PLAUSIBLE_START_AGE && age <= MAX_CLOCK_STEP;
+    let earliest = completed_at.filter(|_| is_stepped).unwrap_or(Micros(0));
     listed.max(earliest).min(now)
 }
 
--- a/crates/node/src/discovery/staleness.rs
+++ b/crates/node/src/discovery/staleness.rs
@@ -116,7 +116,7 @@
 struct OpenCall {
     sent_at: Micros,
     call: PlannedCall,
-    /// Its answer has begun.
+    /// Bytes of its answer have come.
     is_answering: bool,
 }
 
@@ -124,7 +124,7 @@
     /// Whether discovery has held this call, to answer it at the next change.
     fn is_held(&self, now: Micros) -> bool {
         let waits = matches!(self.call.query, Query::Changes { wait } if wait > Micros(0));
-        waits && !self.is_answering && now - self.sent_at > QUEUE_TIME
+        waits && now - self.sent_at > QUEUE_TIME
     }
 }
 
@@ -242,7 +242,7 @@
         let is_first = self.failures == 0;
         self.failures += 1;
         let proves_outage = match fault {
-            Fault::Broken => is_first && is_held,
+            Fault::Broken => is_first && is_held && !is_cut_off,
             Fault::Unreachable => true,
             Fault::Silent | Fault::Refused => false,
         };
@@ -256,6 +256,7 @@
             _ => sent_at,
         };
         self.doubt_since(missed_since, fault);
+        let is_cut_off = is_cut_off && fault == Fault::Broken;
         let max_pause = if is_cut_off && is_first && !self.lists_are_pushed {
             // Discovery answers, and what it has said counts as notified.
             MIN_TRY_INTERVAL
--- a/crates/node/src/node/commands.rs
+++ b/crates/node/src/node/commands.rs
@@ -42,6 +42,7 @@
         log::trace!("{} calls may leave by revision {revision}", leaving.len());
         self.clients.drop_departed(now, leaving, net, core);
         context.workers.withdraw_stale(now, fleet, net, core);
+        context.workers.refresh_deadlines(now, net);
         // What becomes of their jobs is not left to the next turn.
         self.carry_out(now);
     }
--- a/crates/node/src/workers/connection.rs
+++ b/crates/node/src/workers/connection.rs
@@ -1,7 +1,7 @@
 //! A connection to a worker: what it is used for now, and how far that has come.
 
 use super::exchange::{Exchange, ReadProgress};
-use crate::core::Core;
+use crate::core::{AttemptCommand, Core};
 use crate::fleet::AttemptTarget;
 use crate::net::conn::Connection;
 use marbledeck_dispatcher::{Micros, Outcome, RequestId, WorkerId};
@@ -45,6 +45,14 @@
     }
 }
 
+/// An attempt as it was written to a connection's buffer.
+pub struct EncodedAttempt {
+    /// The attempt.
+    pub command: AttemptCommand,
+    /// The time by which its bytes say how long the client still waits.
+    pub encoded_at: Micros,
+}
+
 /// A connection to a worker.
 pub struct WorkerConnection {
     /// The worker at the other end.
@@ -65,6 +73,8 @@
     pub written: bool,
     /// Bytes of its request.
     pub request_bytes: usize,
+    /// The attempt that it carries, and when its bytes were made; none for other requests.
+    pub encoded_attempt: Option<EncodedAttempt>,
     /// The worker runs its attempt.
     pub running: bool,
     /// When it has been connecting, waiting or idle for too long.
@@ -84,6 +94,7 @@
             reused_without_response: false,
             written: false,
             request_bytes: 0,
+            encoded_attempt: None,
             running: false,
             deadline: None,
         }
@@ -108,6 +119,7 @@
         if let Some(request) = self.unwritten_attempt() {
             if !conn.is_connecting() && conn.output.is_empty() {
                 self.written = true;
+                self.encoded_attempt = None;
                 log::trace!(target: super::LOG_TARGET, "{}: written", self.purpose);
                 core.handle_attempt_written(request);
             }
--- a/crates/node/src/workers/mod.rs
+++ b/crates/node/src/workers/mod.rs
@@ -12,7 +12,7 @@
 use crate::core::{AttemptCommand, AttemptEnd, Core};
 use crate::fleet::{AttemptTarget, Fleet};
 use crate::net::{Net, Token};
-use connection::{AttemptId, Purpose, WorkerConnection};
+use connection::{AttemptId, EncodedAttempt, Purpose, WorkerConnection};
 use exchange::Exchange;
 use http_exchange::HttpExchange;
 use marbledeck_dispatcher::{LoadReport, Micros, Outcome, RequestId, WorkerId};
@@ -20,6 +20,7 @@
 use marbledeck_platform_settings::ReportFields;
 use pool::Pool;
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use submission_exchange::SubmissionExchange;
 
 /// The module of all log lines about workers.
@@ -28,6 +29,9 @@
 /// A worker that has not answered a probe within this time is not well.
 const PROBE_TIMEOUT: Micros = millis(500);
 
+/// An attempt that begins so long after it was encoded is encoded anew. Workers may be told of 0.15 s too much.
+const MAX_DEADLINE_AGE: Micros = millis(10);
+
 /// What the links need to know of the workers.
 pub struct WorkersConfig {
     /// Which fields of a load report count, and how.
@@ -125,11 +129,16 @@
     ) {
         let (request, number) = (command.request, command.attempt);
         let sent = target.is_some_and(|(target, endpoint)| {
-            let (bytes, exchange) = self.encode_attempt(now, command, endpoint);
+            let bytes = self.encode_attempt(now, command, endpoint.address);
+            let exchange = self.attempt_exchange(command);
             let purpose = Purpose::Attempt(AttemptId { request, number });
             let connection = WorkerConnection {
                 target: Some(target),
                 send_before: command.send_before,
+                encoded_attempt: Some(EncodedAttempt {
+                    command: command.clone(),
+                    encoded_at: now,
+                }),
                 ..WorkerConnection::new(command.worker, purpose, exchange, now)
             };
             self.send(now, endpoint, connection, &bytes, net)
@@ -140,25 +149,65 @@
         }
     }
 
-    /// The bytes of an attempt, and the response that they lead to.
+    /// The bytes of an attempt, which say how long the client still waits.
     fn encode_attempt(
         &self,
         now: Micros,
         command: &AttemptCommand,
-        endpoint: &Endpoint,
-    ) -> (Vec<u8>, Exchange) {
+        address: SocketAddr,
+    ) -> Vec<u8> {
         let payload = &command.payload;
         let remaining = command.deadline - now;
+        if self.config.submission_workers.contains(&command.worker) {
+            return submission_exchange::attempt_request(payload, remaining);
+        }
+        http_exchange::attempt_request(payload, &address.to_string(), remaining)
+    }
+
+    /// The response that an attempt leads to.
+    fn attempt_exchange(&self, command: &AttemptCommand) -> Exchange {
+        let id = &command.payload.transaction_id;
         let report_fields = self.config.report_fields;
         if self.config.submission_workers.contains(&command.worker) {
-            let exchange = SubmissionExchange::new(&payload.transaction_id, report_fields);
-            let bytes = submission_exchange::attempt_request(payload, remaining);
-            return (bytes, Exchange::Submission(exchange));
+            Exchange::Submission(SubmissionExchange::new(id, report_fields))
+        } else {
+            Exchange::Http(HttpExchange::attempt(id.clone(), report_fields))
+        }
+    }
+
+    /// Encodes the attempts anew that are about to begin and were encoded a while ago, since their connections came up
+    /// late: what a worker is told of the time left is then too much.
+    pub fn refresh_deadlines(&mut self, now: Micros, net: &mut Net) {
+        let sending = std::mem::take(&mut self.sending);
+        for token in &sending {
+            self.refresh_deadline(now, *token, net);
+        }
+        self.sending = sending;
+    }
+
+    fn refresh_deadline(&mut self, now: Micros, token: Token, net: &mut Net) {
+        let (Some(connection), Some(conn)) = (self.pool.get(token), net.get(token)) else {
+            return;
+        };
+        let is_leaving = !conn.is_connecting() && connection.is_unsent(conn);
+        let attempt = connection.encoded_attempt.as_ref();
+        let attempt = attempt.filter(|attempt| now - attempt.encoded_at > MAX_DEADLINE_AGE);
+        let (Some(attempt), Some(target)) = (attempt, &connection.target) else {
+            return;
+        };
+        if !is_leaving {
+            return;
+        }
+        let bytes = self.encode_attempt(now, &attempt.command, target.address);
+        conn.output.consume(usize::MAX);
+        let is_written = conn.output.push(&bytes);
+        debug_assert!(is_written, "no longer than the bytes before");
+        if let Some(connection) = self.pool.get_mut(token) {
+            connection.request_bytes = bytes.len();
+            if let Some(attempt) = &mut connection.encoded_attempt {
+                attempt.encoded_at = now;
+            }
         }
-        let exchange = HttpExchange::attempt(payload.transaction_id.clone(), report_fields);
-        let host = endpoint.address.to_string();
-        let bytes = http_exchange::attempt_request(payload, &host, remaining);
-        (bytes, Exchange::Http(exchange))
     }
 
     /// Asks a worker for its load. One that takes attempts by batch submission has no such query: its probe succeeds
--- a/crates/node/src/workers/pool.rs
+++ b/crates/node/src/workers/pool.rs
@@ -140,6 +140,7 @@
         if let Some(connection) = self.connections.get_mut(&token) {
             connection.purpose = Purpose::Idle;
             connection.exchange = None;
+            connection.encoded_attempt = None;
             self.idle.entry(connection.worker).or_default().push(token);
         }
     }
--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -566,3 +566,56 @@
         "60 of 300 nodes poll within {narrowest} us"
     );
 }
+
+/// A watch that discovery held and then ended with a refusal has missed nothing before that, though the refusal's bytes
+/// came first; one whose answer broke off has.
+#[test]
+fn a_held_watch_that_is_refused_has_missed_nothing_and_one_that_is_cut_off_has() {
+    let expiry_after = |fault, then| {
+        let mut staleness = StalenessTracker::new(Micros(0), GRACE, false, 1);
+        staleness.next_call(secs(10.0));
+        staleness.handle_progress(secs(13.0));
+        let next_call = staleness.handle_failure(secs(13.0), fault);
+        staleness.next_call(next_call);
+        staleness.handle_failure(next_call, then);
+        staleness.trusted_until().expect("in doubt")
+    };
+    let refused = expiry_after(Fault::Refused, Fault::Refused);
+    assert_eq!(refused, secs(13.0 + NOTIFICATION_DELAY) + GRACE);
+    // It was no held watch that broke: a refused connection after it proves nothing.
+    let cut_off = expiry_after(Fault::Broken, Fault::Unreachable);
+    assert_eq!(cut_off, secs(10.0 + NOTIFICATION_DELAY) + GRACE);
+}
+
+/// An answer that comes slowly keeps its call alive for as long as bytes come, until what changes meanwhile counts as
+/// notified, and no longer.
+#[test]
+fn a_slow_answer_is_waited_for_until_a_change_counts_as_notified() {
+    let mut staleness = StalenessTracker::new(Micros(0), GRACE, false, 1);
+    staleness.next_call(secs(10.0));
+    for tenths in 110..150_u32 {
+        let now = secs(f64::from(tenths) / 10.0);
+        let deadline = staleness.call_deadline().expect("an open call");
+        assert!(deadline > now, "given up at {now:?}");
+        staleness.handle_progress(now);
+    }
+    assert_eq!(staleness.call_deadline(), Some(secs(16.0)));
+    staleness.handle_failure(secs(16.0), Fault::Silent);
+    let expiry = secs(10.0 + NOTIFICATION_DELAY) + GRACE;
+    assert_eq!(staleness.trusted_until(), Some(expiry));
+}
+
+/// A list that is pushed while the answer before it is still being read counts at once, so nothing is sent by what that
+/// answer has named for longer than the grace.
+#[test]
+fn an_unfinished_answer_of_a_pushed_list_ends_all_trust_with_the_grace() {
+    for (pushed, expiry) in [(true, Some(secs(20.0) + GRACE)), (false, None)] {
+        let mut staleness = StalenessTracker::new(Micros(0), GRACE, pushed, 1);
+        staleness.handle_answer();
+        staleness.next_call(secs(18.0));
+        staleness.handle_answer_begun(secs(20.0));
+        assert_eq!(staleness.trusted_until(), expiry);
+        staleness.handle_answer();
+        assert_eq!(staleness.trusted_until(), None);
+    }
+}
