--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -21,6 +21,7 @@
 //! ```
 #![forbid(unsafe_code)]
 
+mod address_claims;
 mod change;
 mod membership;
 mod precedence;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -1,5 +1,6 @@
 //! The merged fleet: its state and its look-ups.
 
+use crate::address_claims::AddressClaims;
 use crate::self_preservation::{DueCheck, SelfPreservation};
 use crate::source::{Source, SourceRecord};
 use crate::{SourceId, SourceReport};
@@ -28,14 +29,6 @@
     pub endpoint: Option<Endpoint>,
 }
 
-/// A source's report that a worker listens at an address.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct AddressClaim {
-    pub source: SourceId,
-    /// The worker's id.
-    pub id: String,
-}
-
 /// The merged fleet.
 #[derive(Debug)]
 pub struct Membership {
@@ -47,7 +40,7 @@
     pub(crate) out_of_service: BTreeSet<String>,
     pub(crate) published: HashMap<WorkerId, PublishedWorker, RandomState>,
     /// Who reports which worker at each address, in the order of precedence: the first worker owns it.
-    pub(crate) claims_by_address: HashMap<SocketAddr, BTreeSet<AddressClaim>, RandomState>,
+    pub(crate) claims_by_address: HashMap<SocketAddr, AddressClaims, RandomState>,
     /// When suspected workers and sources are looked at.
     pub(crate) due_checks: BTreeSet<DueCheck>,
     /// Suspected workers that are to be probed.
--- a/crates/membership/src/precedence.rs
+++ b/crates/membership/src/precedence.rs
@@ -111,8 +111,8 @@
 
     /// Who else has this address, and takes precedence over this one: the earlier source's, then the lesser id.
     fn address_owner(&self, address: SocketAddr, id: &str) -> Option<&str> {
-        let first = self.claims_by_address.get(&address)?.first()?;
-        Some(first.id.as_str()).filter(|owner| *owner != id)
+        let owner = self.claims_by_address.get(&address)?.owner();
+        owner.filter(|owner| *owner != id)
     }
 }
 
--- a/crates/membership/src/publish.rs
+++ b/crates/membership/src/publish.rs
@@ -1,11 +1,12 @@
 //! From the merged reports to what is published to the decision module.
 
-use crate::membership::{AddressClaim, PublishedWorker};
+use crate::address_claims::{AddressClaim, AddressClaims};
+use crate::membership::PublishedWorker;
 use crate::precedence::MergedReport;
 use crate::{Endpoint, Membership, MembershipChange};
 use marbledeck_dispatcher::{KindId, Micros, WorkerEntry, WorkerId, WorkerState, ZoneId};
 use marbledeck_platform_settings::worker_id;
-use std::collections::BTreeSet;
+use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 
 impl Membership {
@@ -80,12 +81,19 @@
 
     /// Enters that a source reports a worker at an address.
     pub(crate) fn claim_address(&mut self, address: SocketAddr, claim: AddressClaim) -> Owners {
-        let claims = self.claims_by_address.entry(address).or_default();
-        let before = first_id(claims);
-        claims.insert(claim);
-        // Where nobody claimed it before, only the worker itself does now.
-        let after = before.as_ref().and_then(|_| first_id(claims));
-        Owners { before, after }
+        match self.claims_by_address.entry(address) {
+            Entry::Vacant(entry) => {
+                // Nobody claimed it before, and only the worker itself does now.
+                entry.insert(AddressClaims::One(claim));
+                Owners::default()
+            }
+            Entry::Occupied(mut entry) => {
+                let before = entry.get().owner().map(str::to_owned);
+                entry.get_mut().insert(claim);
+                let after = entry.get().owner().map(str::to_owned);
+                Owners { before, after }
+            }
+        }
     }
 
     /// A source no longer reports a worker at an address.
@@ -93,9 +101,9 @@
         let Some(claims) = self.claims_by_address.get_mut(&address) else {
             return Owners::default();
         };
-        claims.remove(claim);
-        let after = first_id(claims);
-        if claims.is_empty() {
+        let is_empty = claims.remove(claim);
+        let after = claims.owner().filter(|_| !is_empty).map(str::to_owned);
+        if is_empty {
             self.claims_by_address.remove(&address);
         }
         // The worker itself owned it before, or the one that still does.
@@ -121,10 +129,6 @@
     }
 }
 
-fn first_id(claims: &BTreeSet<AddressClaim>) -> Option<String> {
-    claims.first().map(|claim| claim.id.clone())
-}
-
 /// The other workers that owned an address before a claim has changed, and that do after.
 #[derive(Debug, Default)]
 pub(crate) struct Owners {
--- a/crates/membership/src/reports.rs
+++ b/crates/membership/src/reports.rs
@@ -1,6 +1,6 @@
 //! How the reports of sources are taken in: single ones, whole lists, and lists in parts.
 
-use crate::membership::AddressClaim;
+use crate::address_claims::AddressClaim;
 use crate::publish::Owners;
 use crate::source::SourceRecord;
 use crate::{EntryDigest, Membership, MembershipChange, SourceId, SourceReport, Status};
--- /dev/null
+++ b/crates/node/src/discovery/answer.rs
@@ -0,0 +1,210 @@
+//! The answers of discovery: each is read as its bytes come, and counts entry by entry.
+
+use super::list_reader::{ListHeader, ListReader};
+use super::list_update::ListUpdate;
+use super::staleness::Fault;
+use super::Discovery;
+use crate::core::Core;
+use crate::fleet::Fleet;
+use crate::net::conn::Connection;
+use crate::net::http::{self, Body};
+use crate::net::{Net, Token};
+use marbledeck_dispatcher::Micros;
+use marbledeck_membership::MembershipChange;
+
+const HTTP_OK: u16 = 200;
+/// The most bytes of a list: none of them is held, and a call that takes too long is given up.
+const MAX_LIST_BYTES: usize = 32 * 1024 * 1024;
+
+/// An answer that has begun.
+pub(super) struct Answer {
+    /// The number of its list.
+    list_number: u64,
+    began_at: Micros,
+    /// Its head, and what is still to come of its body.
+    head: Option<(http::ResponseHead, Body)>,
+    list: ListReader,
+}
+
+/// A call that has failed.
+pub(super) struct CallError {
+    pub(super) fault: Fault,
+    pub(super) message: String,
+}
+
+impl CallError {
+    fn broken(error: impl std::fmt::Display) -> Self {
+        CallError {
+            fault: Fault::Broken,
+            message: error.to_string(),
+        }
+    }
+}
+
+impl Discovery {
+    /// Reads what has come of the answer, and takes it in. Returns what the list says of itself, once it is complete.
+    pub(super) fn read(
+        &mut self,
+        now: Micros,
+        token: Token,
+        fleet: &mut Fleet,
+        net: &mut Net,
+        core: &mut Core,
+    ) -> Result<Option<ListHeader>, CallError> {
+        let Some(conn) = net.get(token) else {
+            return Ok(None);
+        };
+        if !conn.input.is_empty() {
+            self.note_progress(now, fleet);
+            self.read_head(conn)?;
+        }
+        let taken = self.take_content(conn);
+        self.apply_content(now, fleet, core)?;
+        taken?;
+        let answer = self.call.as_ref().and_then(|call| call.answer.as_ref());
+        if let Some((answer, (head, body))) = answer.and_then(|a| Some((a, a.head.as_ref()?))) {
+            if body.is_done() || conn.eof && body.ends_with_connection() {
+                let is_reusable = head.keep_alive && conn.is_open() && conn.input.is_empty();
+                let header = answer.list.finish().map_err(CallError::broken)?;
+                if is_reusable {
+                    self.idle = Some(token);
+                } else {
+                    net.close(token);
+                }
+                return Ok(Some(header));
+            }
+        }
+        if !conn.eof && !conn.broken {
+            Ok(None)
+        } else if conn.is_connecting() {
+            Err(CallError {
+                fault: Fault::Unreachable,
+                message: "no connection".to_owned(),
+            })
+        } else {
+            Err(CallError::broken("the connection broke"))
+        }
+    }
+
+    /// Bytes of the answer have come.
+    fn note_progress(&mut self, now: Micros, fleet: &mut Fleet) {
+        let Some(call) = &mut self.call else {
+            return;
+        };
+        self.staleness.handle_progress(now);
+        if call.answer.is_some() {
+            return;
+        }
+        fleet.members.begin_full_list(self.source);
+        let list_number = fleet.members.list_number(self.source);
+        let began_at = self.quiet_at.max(call.sent_at);
+        self.trust.begin_answer(list_number, began_at);
+        call.answer = Some(Answer {
+            list_number,
+            began_at,
+            head: None,
+            list: ListReader::default(),
+        });
+    }
+
+    /// Reads the answer's head, where it has not been read and has come completely.
+    fn read_head(&mut self, conn: &mut Connection) -> Result<(), CallError> {
+        let answer = self.call.as_mut().and_then(|call| call.answer.as_mut());
+        let Some(answer) = answer.filter(|answer| answer.head.is_none()) else {
+            return Ok(());
+        };
+        let head = http::response_head(conn.input.all()).map_err(CallError::broken)?;
+        let Some((head, length)) = head else {
+            return Ok(());
+        };
+        conn.input.consume(length);
+        if head.status != HTTP_OK {
+            self.trust.cancel_answer(answer.list_number);
+            return Err(CallError {
+                fault: Fault::Refused,
+                message: format!("status {}", head.status),
+            });
+        }
+        self.staleness.handle_answer_begun(answer.began_at);
+        let body = Body::of_long_response(&head, MAX_LIST_BYTES).map_err(CallError::broken)?;
+        answer.head = Some((head, body));
+        Ok(())
+    }
+
+    /// Takes the bytes of the list out of the message.
+    fn take_content(&mut self, conn: &mut Connection) -> Result<(), CallError> {
+        let answer = self.call.as_mut().and_then(|call| call.answer.as_mut());
+        if let Some((_, body)) = answer.and_then(|answer| answer.head.as_mut()) {
+            let taken = body.take(conn.input.all(), &mut self.content);
+            conn.input.consume(taken.map_err(CallError::broken)?);
+        }
+        Ok(())
+    }
+
+    /// Takes in the entries that have come completely; those before a fault count.
+    fn apply_content(
+        &mut self,
+        now: Micros,
+        fleet: &mut Fleet,
+        core: &mut Core,
+    ) -> Result<(), CallError> {
+        let content = std::mem::take(&mut self.content);
+        let Some(mut answer) = self.call.as_mut().and_then(|call| call.answer.take()) else {
+            return Ok(());
+        };
+        let mut update = self.update(now, fleet);
+        let pushed = answer.list.push(&content, &mut |text| update.apply(text));
+        let change = update.change;
+        fleet.apply_change(now, change, core);
+        if let Some(call) = &mut self.call {
+            call.answer = Some(answer);
+        }
+        self.content = content;
+        self.content.clear();
+        pushed.map_err(CallError::broken)
+    }
+
+    pub(super) fn update<'a>(&'a self, now: Micros, fleet: &'a mut Fleet) -> ListUpdate<'a> {
+        ListUpdate {
+            now,
+            source: self.source,
+            digest_key: &self.digest_key,
+            members: &mut fleet.members,
+            change: MembershipChange::default(),
+        }
+    }
+
+    /// The list has come completely: all that it says was taken in entry by entry.
+    pub(super) fn complete_list(
+        &mut self,
+        now: Micros,
+        header: ListHeader,
+        fleet: &mut Fleet,
+        core: &mut Core,
+    ) {
+        let sent_at = self.call.take().map_or(now, |call| call.sent_at);
+        let ListHeader {
+            revision, entries, ..
+        } = header;
+        log::debug!(
+            "directory: revision {revision}, {entries} lines, after {} us",
+            (now - sent_at).0
+        );
+        self.revision = revision;
+        self.staleness.handle_answer();
+        fleet.members.note_list_complete(now, self.source);
+        let mut change = MembershipChange::default();
+        if header.is_complete {
+            change.append(fleet.members.sweep_all_missing(now, self.source));
+        }
+        // After what is new: only those that are still named are trusted again.
+        if std::mem::take(&mut self.is_distrusted) {
+            log::info!("directory: the list is trusted again");
+        }
+        if self.trust.complete_answer() {
+            let trusted = fleet.members.set_trusted_from_list(self.source, 0);
+            change.append(trusted);
+        }
+        fleet.apply_change(now, change, core);
+    }
+}
