Soak with pushed lists, too: a change counts as told when it is made

Change: the stand-in for discovery can count its lists as pushed; each fourth seed of the soak does.

--- a/crates/node/tests/drain_soak.rs
+++ b/crates/node/tests/drain_soak.rs
@@ -1,6 +1,6 @@
 //! A seeded soak: a node with thousands of listed workers and clients that never rest, while workers drain and come back
 //! by the hundreds, lists come in all forms and at all paces, discovery goes down and returns, and the node is stopped for
-//! moments, starved of processor time, reloaded, ended and killed. No request may begin at a worker after the grace of its
+//! moments, starved of processor time, reloaded, ended and killed. Each fourth seed has its lists pushed. No request may begin at a worker after the grace of its
 //! drain, no process may fail, and whatever is taken is answered in time.
 //!
 //! `MARBLEDECK_SOAK_SEEDS=1..51 cargo test --release -p marbledeck-node --test drain_soak -- --nocapture` is a long run.
@@ -313,12 +313,13 @@
     }
 }
 
-/// A node whose file lists the whole crowd.
-fn start_node(crowd: &WorkerCrowd) -> TestEnvironment {
+/// A node whose file lists the whole crowd, before a discovery that pushes its lists or is asked for them.
+fn start_node(crowd: &WorkerCrowd, pushes: bool) -> TestEnvironment {
     let options = EnvironmentOptions {
         workers: 0,
         memory_mb: 64,
         sockets: 640,
+        registry_mode: if pushes { "automatic" } else { "subscribe" },
         ..EnvironmentOptions::default()
     };
     TestEnvironment::start_with(options, |discovery| {
@@ -330,6 +331,9 @@
             phase: "up",
         });
         discovery.set_workers(&entries.collect::<Vec<_>>());
+        if pushes {
+            discovery.push_lists();
+        }
     })
 }
 
@@ -342,7 +346,7 @@
         tally: Tally::default(),
         stalls: StallMeter::start(stop.clone()),
     });
-    let environment = start_node(crowd);
+    let environment = start_node(crowd, seed.is_multiple_of(4));
     crowd.take_seen();
     let address = environment.client_address.clone();
     let clients: Vec<JoinHandle<()>> = (0..CLIENTS)
--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -86,7 +86,9 @@
     is_down: bool,
     /// How many answers were begun.
     answers: usize,
-    /// When the first answer was begun that says that a worker is not up, by its id; as long as it is not.
+    /// A change counts as told when it is made, or when discovery is back, not when it is written.
+    pushes: bool,
+    /// When it was first told that a worker is not up, by its id; as long as it is not.
     notices: HashMap<String, Instant>,
 }
 
@@ -156,6 +158,7 @@
             state.workers.push(ListedWorker { revision, member });
         }
         state.forget_notices(ids);
+        state.push_notices();
         self.state.1.notify_all();
     }
 
@@ -190,7 +193,9 @@
     /// # Panics
     /// A thread has panicked before.
     pub fn set_down(&self, is_down: bool) {
-        self.state().is_down = is_down;
+        let mut state = self.state();
+        state.is_down = is_down;
+        state.push_notices();
         self.state.1.notify_all();
     }
 
@@ -202,7 +207,8 @@
         self.state().answers
     }
 
-    /// When the first answer was begun that says of a worker that it is not up; none while it is, or no answer has.
+    /// When it was first told that a worker is not up: by the first byte of an answer, or where lists are pushed by the
+    /// change itself. None while it is up, or nothing was told.
     ///
     /// # Panics
     /// A thread has panicked before.
@@ -210,12 +216,23 @@
         self.state().notices.get(id).copied()
     }
 
-    /// Forgets what was said before of workers that are not up: a new process has not heard it.
+    /// From now on lists count as pushed: a change is told when it is made, or when discovery is back.
+    ///
+    /// # Panics
+    /// A thread has panicked before.
+    pub fn push_lists(&self) {
+        self.state().pushes = true;
+    }
+
+    /// Forgets what was told before of workers that are not up: a new process has not heard it, but where lists are
+    /// pushed, which counts from its start.
     ///
     /// # Panics
     /// A thread has panicked before.
     pub fn forget_notices(&self) {
-        self.state().notices.clear();
+        let mut state = self.state();
+        state.notices.clear();
+        state.push_notices();
     }
 
     /// The whole list in discovery's form.
@@ -312,6 +329,19 @@
 }
 
 impl State {
+    /// Where lists are pushed, all that discovery has is told, unless it is down.
+    fn push_notices(&mut self) {
+        if !self.pushes || self.is_down {
+            return;
+        }
+        let now = Instant::now();
+        let not_up = self.workers.iter().filter(|worker| !worker.is_up());
+        for worker in not_up {
+            let id = worker.id().to_owned();
+            self.notices.entry(id).or_insert(now);
+        }
+    }
+
     /// What was said before of these workers is over.
     fn forget_notices<'a>(&mut self, ids: impl IntoIterator<Item = &'a str>) {
         for id in ids {
--- a/crates/test-support/src/environment.rs
+++ b/crates/test-support/src/environment.rs
@@ -35,6 +35,8 @@
     pub peers: Vec<SocketAddr>,
     /// How many of the workers discovery lists; all of them where none.
     pub listed_workers: Option<usize>,
+    /// How the settings say that lists come: `subscribe` where the node asks for them; else they are pushed.
+    pub registry_mode: &'static str,
     /// The list in the node's file; that of discovery at the start of the process where none.
     pub known: Option<serde_json::Value>,
     /// The least important level that the node logs.
@@ -53,6 +55,7 @@
             operator_keys: String::new(),
             peers: Vec::new(),
             listed_workers: None,
+            registry_mode: "subscribe",
             known: None,
             log_level: "info",
         }
@@ -143,13 +146,14 @@
             let _ = write!(peers, ",\"{peer}\"");
         }
         let may_gossip = !self.options.peers.is_empty();
+        let mode = self.options.registry_mode;
         format!(
             r#"{{"name":"n0","seed":"{started:x}7","discovery":"{}",
             "limits":{{"memory_mb":{memory},"sockets":{sockets}}},
             "peer_listen":"127.0.0.1:0","peers":[{peers}],
             "known":{},
             "settings":{{"balancers":1,"self-index":0,"zone":0,"localities":["east"],"kinds":["std"],
-            "registry-mode":"subscribe","stats":{{"fields":["x0"],"how":"piggyback"}},
+            "registry-mode":"{mode}","stats":{{"fields":["x0"],"how":"piggyback"}},
             "family-info":{{"class-kind":[-1,-1],"class-stretch":[2.0,2.5],"report-x0":"free slots",
             "tells-start":true,"progress-us":1000000}},
             "bounds":{{"conn-idle-us":5000000,"connect-timeout-us":250000,"max-open":200000,
