Trust a pushed list that was read for long only after a quick answer

Change: a pushed list that took over a quarter of the grace to come is old when it is complete; it is asked for at once without a wait, and trusted after a quick answer (staleness.rs handle_complete_answer, answer.rs restore_trust).

--- a/crates/node/src/discovery/answer.rs
+++ b/crates/node/src/discovery/answer.rs
@@ -182,7 +182,10 @@
         fleet: &mut Fleet,
         core: &mut Core,
     ) {
-        let sent_at = self.call.take().map_or(now, |call| call.sent_at);
+        let call = self.call.take();
+        let sent_at = call.as_ref().map_or(now, |call| call.sent_at);
+        let answer = call.and_then(|call| call.answer);
+        let began_at = answer.map_or(now, |answer| answer.began_at);
         let ListHeader {
             revision, entries, ..
         } = header;
@@ -191,20 +194,34 @@
             (now - sent_at).0
         );
         self.revision = revision;
-        self.staleness.handle_answer();
+        self.staleness.handle_complete_answer(now, began_at);
         fleet.members.note_list_complete(now, self.source);
         let mut change = MembershipChange::default();
         if header.is_complete {
             change.append(fleet.members.sweep_all_missing(now, self.source));
         }
         // After what is new: only those that are still named are trusted again.
-        if std::mem::take(&mut self.is_distrusted) {
+        change.append(self.restore_trust(now, fleet));
+        fleet.apply_change(now, change, core);
+    }
+
+    /// Sends by all that the list names again, unless it has become too old while it was read.
+    fn restore_trust(&mut self, now: Micros, fleet: &mut Fleet) -> MembershipChange {
+        let was_limited = self.trust.complete_answer();
+        let was_distrusted = std::mem::take(&mut self.is_distrusted);
+        if self.distrusted_at().is_some_and(|due| due <= now) {
+            self.is_distrusted = true;
+            let next_list = fleet.members.list_number(self.source) + 1;
+            self.trust.limit(next_list);
+            return fleet.members.set_trusted_from_list(self.source, next_list);
+        }
+        if was_distrusted {
             log::info!("directory: the list is trusted again");
         }
-        if self.trust.complete_answer() {
-            let trusted = fleet.members.set_trusted_from_list(self.source, 0);
-            change.append(trusted);
+        if was_limited {
+            fleet.members.set_trusted_from_list(self.source, 0)
+        } else {
+            MembershipChange::default()
         }
-        fleet.apply_change(now, change, core);
     }
 }
--- a/crates/node/src/discovery/staleness.rs
+++ b/crates/node/src/discovery/staleness.rs
@@ -233,6 +233,16 @@
         self.outage = Outage::NothingMissed;
     }
 
+    /// The list, or a part of it, has come completely, in an answer that was begun at this moment. Where lists are
+    /// pushed, what has changed since then counts as notified: after one that took long, it is asked for at once.
+    pub fn handle_complete_answer(&mut self, now: Micros, began_at: Micros) {
+        self.handle_answer();
+        if self.lists_are_pushed && now - began_at > self.try_interval_in_grace() {
+            self.doubt_from(began_at);
+            self.outage = Outage::MayHaveMissed;
+        }
+    }
+
     /// The call has failed. Returns when to call again.
     pub fn handle_failure(&mut self, now: Micros, fault: Fault) -> Micros {
         let call = self.open_call.take();
--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -619,3 +619,24 @@
         assert_eq!(staleness.trusted_until(), None);
     }
 }
+
+/// What has changed while a pushed list was read for long counts as notified since then: the list is trusted once an
+/// answer has come quickly.
+#[test]
+fn a_pushed_list_that_was_read_for_long_is_old_when_it_is_complete() {
+    let mut staleness = StalenessTracker::new(Micros(0), GRACE, true, 1);
+    staleness.next_call(secs(10.0));
+    staleness.handle_answer_begun(secs(10.0));
+    staleness.handle_complete_answer(secs(10.6), secs(10.0));
+    assert_eq!(staleness.trusted_until(), Some(secs(10.0) + GRACE));
+    let call = staleness.next_call(secs(10.6));
+    assert_eq!(call.query, Query::Changes { wait: Micros(0) });
+    staleness.handle_answer_begun(secs(10.61));
+    staleness.handle_complete_answer(secs(10.62), secs(10.61));
+    assert_eq!(staleness.trusted_until(), None);
+    // Where it is asked for, what was not written yet was not notified.
+    let mut staleness = StalenessTracker::new(Micros(0), GRACE, false, 1);
+    staleness.next_call(secs(10.0));
+    staleness.handle_complete_answer(secs(10.6), secs(10.0));
+    assert_eq!(staleness.trusted_until(), None);
+}
