--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -315,6 +315,9 @@
             Delivery::StopAfter(length) => {
                 let (first, rest) = bytes.split_at(length.min(bytes.len()));
                 stream.write_all(first).ok()?;
+                if rest.is_empty() {
+                    return Some(());
+                }
                 let state = self.state();
                 let stopped = |state: &mut State| state.resumed == resumed;
                 drop(self.state.1.wait_while(state, stopped));
