--- a/crates/membership/src/reports.rs
+++ b/crates/membership/src/reports.rs
@@ -45,7 +45,7 @@
         change
     }
 
-    /// Takes a source's whole list. Tells only what has changed; see [`Membership::entries`].
+    /// Takes a source's whole list. Tells only what has changed.
     pub fn apply_full_list(
         &mut self,
         now: Micros,
