Record what discovery tells in one step with the write that tells it

Cause: the stub of discovery let go of its lock between composing an answer and recording its notices. A change in between listed the workers as up and dropped their notices at once; the older answer then recorded them anew, for good. The node was right: it sent after an answer had said up.

Change: per process and worker, the stub records each report when it is written, with the revision of the entry; an older entry never replaces a newer one. A drain counts from its answer's first byte, as before. Nothing got looser, and some of it stricter: an up counts only when its entry is about to be written, not from the change on; a pushed drain outlives an up that comes in an outage; what a process is told while it starts is kept (forget_notices dropped it), by an address of discovery for each process; a request is checked by what was told when it began; one whose first byte came counts although the rest did not. A fault now prints all reports of its worker and the request's connection.

--- a/crates/node/tests/drain_soak.rs
+++ b/crates/node/tests/drain_soak.rs
@@ -8,7 +8,7 @@
 
 use marbledeck_test_support::{
     AnswerForm, Delivery, DiscoveryStub, EnvironmentOptions, JobClient, ListedEndpoint,
-    TestEnvironment, WorkerCrowd,
+    SeenRequest, TestEnvironment, WorkerCrowd,
 };
 use rustix::process::{kill_process, Pid, Signal};
 use std::ops::Range;
@@ -252,8 +252,6 @@
         let newest = self.random.below(2) == 0;
         let known = self.environment.discovery.endpoint_list();
         self.environment.set_known((!newest).then_some(known));
-        // Checks the requests seen so far before the notices of this process are discarded.
-        self.check_drains();
         let began = Instant::now();
         if gracefully {
             let ended = self.environment.terminate_and_restart(KILL_AFTER);
@@ -266,8 +264,6 @@
         } else {
             self.environment.crash_and_restart();
         }
-        self.crowd.take_seen();
-        self.environment.discovery.forget_notices();
         self.run.restarts.fetch_add(1, Ordering::SeqCst);
     }
 
@@ -302,16 +298,19 @@
     fn check_drains(&self) {
         let discovery: &DiscoveryStub = &self.environment.discovery;
         for request in self.crowd.take_seen() {
-            let Some(notice) = discovery.notice(&WorkerCrowd::id(request.worker)) else {
+            let id = WorkerCrowd::id(request.worker);
+            let began_at = request.first_byte_at;
+            let Some(notice) = discovery.notice_at(&id, began_at) else {
                 continue;
             };
-            let stalled = self.run.stalls.between(notice, request.first_byte_at);
-            let late = request.first_byte_at.saturating_duration_since(notice);
+            let stalled = self.run.stalls.between(notice, began_at);
+            let late = began_at - notice;
             if late > GRACE + stalled {
-                let (worker, txn) = (request.worker, request.txn);
-                let stalled = format!("the machine stalled for {stalled:?}");
+                let SeenRequest { txn, client, .. } = &request;
+                let reports = discovery.describe_reports(&id, began_at);
                 self.run.fault(format!(
-                    "drain: {txn} began at worker {worker} {late:?} after notice; {stalled}"
+                    "drain: {txn:?} from {client} began at {id} {late:?} after the notice; the machine stalled for \
+                     {stalled:?}; told of the worker: {reports}"
                 ));
             }
         }
@@ -355,8 +354,8 @@
         tally: Tally::default(),
         stalls: StallMeter::start(stop.clone()),
     });
-    let environment = start_node(crowd, seed.is_multiple_of(4));
     crowd.take_seen();
+    let environment = start_node(crowd, seed.is_multiple_of(4));
     let address = environment.client_address.clone();
     let clients: Vec<JoinHandle<()>> = (0..CLIENTS)
         .map(|number| {
--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -3,8 +3,9 @@
 
 use crate::accept::{listen, serve_connections};
 use crate::http;
+use crate::notices::{AnswerId, ProcessRecord, ReportsAround, WorkerReport};
 use serde_json::{json, Value};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -15,6 +16,9 @@
 /// Size of a chunk in answers with chunked transfer coding.
 const CHUNK_BYTES: usize = 4000;
 
+/// Time limit of every wait of a test. It is far longer than a wait takes unless the test fails.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
 /// The encoding of an answer's body.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum AnswerForm {
@@ -91,8 +95,14 @@
     /// Whether lists are pushed. A change then counts as reported when it is made, or when an outage ends, instead of
     /// when an answer reports it.
     pushes_lists: bool,
-    /// For each worker that is not up, by its id: when discovery first reported that.
-    notices: HashMap<String, Instant>,
+    /// Whether answers are held between their composition and their first byte.
+    holds_answers: bool,
+    /// Number of answers that are held.
+    held_answers: usize,
+    /// Number of connections accepted so far.
+    connections: u64,
+    /// What each process of the node was told, in the order of their start.
+    processes: Vec<ProcessRecord>,
 }
 
 /// A stub of discovery, which serves until the program exits.
@@ -106,8 +116,37 @@
 /// An answer before its encoding.
 struct Answer {
     body: Value,
-    /// The ids of the workers that the answer reports as not up.
-    not_up: Vec<String>,
+    /// The revision of its list.
+    revision: u64,
+    /// What it tells, first about the entries of its body in their order, then about the workers that it leaves out.
+    told: Vec<ToldEntry>,
+}
+
+/// What an answer tells about one worker.
+struct ToldEntry {
+    id: String,
+    /// The revision of the list in which the entry last changed.
+    revision: u64,
+    is_up: bool,
+}
+
+impl From<&ListedWorker> for ToldEntry {
+    fn from(worker: &ListedWorker) -> Self {
+        ToldEntry {
+            id: worker.id().to_owned(),
+            revision: worker.revision,
+            is_up: worker.is_up(),
+        }
+    }
+}
+
+/// A connection from a process of the node.
+struct NodeConnection {
+    stream: TcpStream,
+    /// The index of the process in the order of their start.
+    process: usize,
+    /// The number of the connection, from 1.
+    number: u64,
 }
 
 impl DiscoveryStub {
@@ -116,15 +155,38 @@
     /// # Panics
     /// The listener cannot be bound.
     pub fn start() -> Self {
-        let (listener, address) = listen();
-        let discovery = DiscoveryStub {
-            address,
+        let mut discovery = DiscoveryStub {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
             state: Arc::default(),
         };
-        serve_connections(listener, discovery.clone(), DiscoveryStub::serve);
+        discovery.address = discovery.begin_process();
         discovery
     }
 
+    /// Opens a listener for a process of the node that is about to start, and returns its address. What is told from now
+    /// on to this address is recorded apart from what earlier processes were told. If lists are pushed, the process is
+    /// told the current list at once.
+    ///
+    /// # Panics
+    /// The listener cannot be bound, or another thread has panicked while it held the lock.
+    pub fn begin_process(&self) -> SocketAddr {
+        let (listener, address) = listen();
+        let mut state = self.state();
+        let process = state.processes.len();
+        state.processes.push(ProcessRecord::new());
+        state.tell_pushed_lists();
+        drop(state);
+        let discovery = self.clone();
+        serve_connections(
+            listener,
+            (discovery, process),
+            |(discovery, process), stream| {
+                discovery.accept(*process, stream);
+            },
+        );
+        address
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.0.lock().expect("the lock is not poisoned")
     }
@@ -140,7 +202,7 @@
         let member = member(id, address, phase, state.workers.len() / 3);
         state.workers.retain(|worker| worker.member["id"] != id);
         state.workers.push(ListedWorker { revision, member });
-        state.forget_notices([id]);
+        state.tell_pushed_lists();
         self.state.1.notify_all();
     }
 
@@ -160,8 +222,7 @@
             let member = member(endpoint.id, endpoint.address, endpoint.phase, cell);
             state.workers.push(ListedWorker { revision, member });
         }
-        state.forget_notices(ids);
-        state.push_notices();
+        state.tell_pushed_lists();
         self.state.1.notify_all();
     }
 
@@ -198,10 +259,36 @@
     pub fn set_down(&self, is_down: bool) {
         let mut state = self.state();
         state.is_down = is_down;
-        state.push_notices();
+        state.tell_pushed_lists();
+        self.state.1.notify_all();
+    }
+
+    /// Starts or ends holding answers between their composition and their first byte.
+    ///
+    /// # Panics
+    /// Another thread has panicked while it held the lock.
+    pub fn hold_answers(&self, holds: bool) {
+        self.state().holds_answers = holds;
         self.state.1.notify_all();
     }
 
+    /// Waits until this number of answers is held.
+    ///
+    /// # Panics
+    /// The answers are not composed within the time limit, or another thread has panicked while it held the lock.
+    pub fn wait_for_held_answers(&self, count: usize) {
+        let is_missing = |state: &mut State| state.held_answers < count;
+        let waited = self
+            .state
+            .1
+            .wait_timeout_while(self.state(), TIMEOUT, is_missing);
+        let result = waited.expect("the lock is not poisoned").1;
+        assert!(
+            !result.timed_out(),
+            "{count} answers are not held within {TIMEOUT:?}"
+        );
+    }
+
     /// Returns the number of answers whose transmission has started.
     ///
     /// # Panics
@@ -210,33 +297,45 @@
         self.state().answers
     }
 
-    /// Returns when discovery first reported that a worker is not up: the time of the first answer that says so or, if
-    /// lists are pushed, the time of the change. `None` if the worker is up or the change was not reported yet.
+    /// Returns since when the process that was started last has known that a worker is not up: the time of the first
+    /// answer that says so or, if lists are pushed, of the change. `None` if the worker is up or that was not told yet.
     ///
     /// # Panics
     /// Another thread has panicked while it held the lock.
     pub fn notice(&self, id: &str) -> Option<Instant> {
-        self.state().notices.get(id).copied()
+        self.notice_at(id, Instant::now())
     }
 
-    /// Treats lists as pushed from now on: a change counts as reported when it is made or, if it is made during an
-    /// outage, when the outage ends.
+    /// Returns what [`DiscoveryStub::notice`] would have returned at this moment.
     ///
     /// # Panics
     /// Another thread has panicked while it held the lock.
-    pub fn push_lists(&self) {
-        self.state().pushes_lists = true;
+    pub fn notice_at(&self, id: &str, moment: Instant) -> Option<Instant> {
+        let state = self.state();
+        let process = state.process_at(moment)?;
+        process.not_up_since(id, moment)
     }
 
-    /// Clears the times that [`DiscoveryStub::notice`] returns, since a new process of the node has not received the
-    /// earlier answers. If lists are pushed, the current state counts as reported now.
+    /// Describes all that the process of this moment was told about a worker, for a failure message.
     ///
     /// # Panics
     /// Another thread has panicked while it held the lock.
-    pub fn forget_notices(&self) {
+    pub fn describe_reports(&self, id: &str, moment: Instant) -> String {
+        let state = self.state();
+        let process = state.process_at(moment);
+        let reports = process.map_or(&[][..], |process| process.reports(id));
+        ReportsAround { reports, moment }.to_string()
+    }
+
+    /// Treats lists as pushed from now on: a change counts as told when it is made or, if it is made during an outage,
+    /// when the outage ends.
+    ///
+    /// # Panics
+    /// Another thread has panicked while it held the lock.
+    pub fn push_lists(&self) {
         let mut state = self.state();
-        state.notices.clear();
-        state.push_notices();
+        state.pushes_lists = true;
+        state.tell_pushed_lists();
     }
 
     /// Returns the whole list, encoded as discovery sends it.
@@ -247,9 +346,21 @@
         self.state().whole_list().body
     }
 
-    fn serve(&self, mut stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
-        let Ok(reader) = stream.try_clone() else {
+    fn accept(&self, process: usize, stream: TcpStream) {
+        let mut state = self.state();
+        state.connections += 1;
+        let number = state.connections;
+        drop(state);
+        self.serve(NodeConnection {
+            stream,
+            process,
+            number,
+        });
+    }
+
+    fn serve(&self, mut connection: NodeConnection) {
+        let _ = connection.stream.set_nodelay(true);
+        let Ok(reader) = connection.stream.try_clone() else {
             return;
         };
         let mut reader = BufReader::new(reader);
@@ -260,13 +371,13 @@
                 Some(after) => self.changes(after, number("wait_ms").unwrap_or(0)),
             };
             if answer
-                .and_then(|answer| self.write(&mut stream, &answer))
+                .and_then(|answer| self.write(&mut connection, &answer))
                 .is_none()
             {
                 break;
             }
         }
-        let _ = stream.shutdown(Shutdown::Both);
+        let _ = connection.stream.shutdown(Shutdown::Both);
     }
 
     /// Waits up to `wait_ms` for a revision after `after` and returns the changes. `None` if an outage starts.
@@ -292,98 +403,186 @@
         (!state.is_down).then(answer)
     }
 
+    /// Waits while answers are held before their first byte.
+    fn wait_while_held(&self) {
+        let mut state = self.state();
+        if !state.holds_answers {
+            return;
+        }
+        state.held_answers += 1;
+        self.state.1.notify_all();
+        let waited = self.state.1.wait_while(state, |state| state.holds_answers);
+        waited.expect("the lock is not poisoned").held_answers -= 1;
+    }
+
     /// Writes an answer with the current encoding and delivery. `None` if the connection must be closed.
-    fn write(&self, stream: &mut TcpStream, answer: &Answer) -> Option<()> {
+    fn write(&self, connection: &mut NodeConnection, answer: &Answer) -> Option<()> {
+        self.wait_while_held();
         let (form, delivery, resume_count) = {
             let mut state = self.state();
             if state.is_down {
                 return None;
             }
             state.answers += 1;
-            let now = Instant::now();
-            for id in &answer.not_up {
-                state.notices.entry(id.clone()).or_insert(now);
-            }
+            state.tell_not_up(connection, answer);
             (state.form, state.delivery, state.resume_count)
         };
-        let bytes = encode(form, &answer.body);
+        let encoded = encode(form, &answer.body);
+        let length = encoded.bytes.len();
+        let mut writer = AnswerWriter {
+            discovery: self,
+            connection,
+            answer,
+            encoded,
+            written: 0,
+            told: 0,
+        };
         match delivery {
-            Delivery::AtOnce => stream.write_all(&bytes).ok(),
-            Delivery::Paced { bytes: size, pause } => {
-                for piece in bytes.chunks(size.max(1)) {
-                    stream.write_all(piece).ok()?;
+            Delivery::AtOnce => writer.write_up_to(length),
+            Delivery::Paced { bytes, pause } => {
+                while writer.written < length {
+                    writer.write_up_to(writer.written + bytes.max(1))?;
                     std::thread::sleep(pause);
                 }
                 Some(())
             }
-            Delivery::StopAfter(length) => {
-                let (first, rest) = bytes.split_at(length.min(bytes.len()));
-                stream.write_all(first).ok()?;
-                if rest.is_empty() {
+            Delivery::StopAfter(first) => {
+                writer.write_up_to(first)?;
+                if first >= length {
                     return Some(());
                 }
-                let state = self.state();
                 let stopped = |state: &mut State| state.resume_count == resume_count;
-                drop(self.state.1.wait_while(state, stopped));
-                stream.write_all(rest).ok()
+                drop(self.state.1.wait_while(self.state(), stopped));
+                writer.write_up_to(length)
             }
-            Delivery::CutAfter(length) => {
-                let _ = stream.write_all(&bytes[..length.min(bytes.len())]);
+            Delivery::CutAfter(first) => {
+                let _ = writer.write_up_to(first);
                 None
             }
         }
     }
 }
 
+/// Writes the bytes of an answer, and records that a worker is up when the last byte of its entry is about to be
+/// written.
+struct AnswerWriter<'a> {
+    discovery: &'a DiscoveryStub,
+    connection: &'a mut NodeConnection,
+    answer: &'a Answer,
+    encoded: EncodedAnswer,
+    /// Number of bytes written.
+    written: usize,
+    /// Number of entries written.
+    told: usize,
+}
+
+impl AnswerWriter<'_> {
+    /// Writes the bytes up to this offset, or all that are left. `None` if the connection is broken.
+    fn write_up_to(&mut self, offset: usize) -> Option<()> {
+        let offset = offset.clamp(self.written, self.encoded.bytes.len());
+        let complete = self
+            .encoded
+            .entry_ends
+            .partition_point(|end| *end <= offset);
+        let entries = &self.answer.told[self.told..complete];
+        let mut state = self.discovery.state();
+        state.tell(
+            self.connection,
+            self.answer,
+            entries.iter().filter(|entry| entry.is_up),
+        );
+        drop(state);
+        let bytes = &self.encoded.bytes[self.written..offset];
+        (self.written, self.told) = (offset, complete);
+        self.connection.stream.write_all(bytes).ok()
+    }
+}
+
 impl State {
-    /// If lists are pushed and there is no outage, records that the current state was reported.
-    fn push_notices(&mut self) {
+    /// The record of the process that was the newest one at this moment.
+    fn process_at(&self, moment: Instant) -> Option<&ProcessRecord> {
+        let mut newest_first = self.processes.iter().rev();
+        newest_first.find(|process| process.began_at <= moment)
+    }
+
+    /// If lists are pushed and there is no outage, records that all processes were told the current list.
+    fn tell_pushed_lists(&mut self) {
         if !self.pushes_lists || self.is_down {
             return;
         }
-        let now = Instant::now();
-        let not_up = self.workers.iter().filter(|worker| !worker.is_up());
-        for worker in not_up {
-            let id = worker.id().to_owned();
-            self.notices.entry(id).or_insert(now);
+        let at = Instant::now();
+        for worker in &self.workers {
+            for process in &mut self.processes {
+                let report = WorkerReport {
+                    at,
+                    entry_revision: worker.revision,
+                    is_up: worker.is_up(),
+                    answer: None,
+                };
+                process.add(worker.id(), report);
+            }
         }
     }
 
-    /// Forgets when these workers were first reported as not up.
-    fn forget_notices<'a>(&mut self, ids: impl IntoIterator<Item = &'a str>) {
-        for id in ids {
-            self.notices.remove(id);
+    /// Records what an answer is about to tell about workers that are not up: that counts from its first byte on.
+    fn tell_not_up(&mut self, connection: &NodeConnection, answer: &Answer) {
+        let not_up = answer.told.iter().filter(|entry| !entry.is_up);
+        self.tell(connection, answer, not_up);
+    }
+
+    /// Records that an answer tells these entries now. Does nothing if lists are pushed.
+    fn tell<'a>(
+        &mut self,
+        connection: &NodeConnection,
+        answer: &Answer,
+        entries: impl Iterator<Item = &'a ToldEntry>,
+    ) {
+        if self.pushes_lists {
+            return;
+        }
+        let at = Instant::now();
+        let process = &mut self.processes[connection.process];
+        for entry in entries {
+            let report = WorkerReport {
+                at,
+                entry_revision: entry.revision,
+                is_up: entry.is_up,
+                answer: Some(AnswerId {
+                    revision: answer.revision,
+                    connection: connection.number,
+                }),
+            };
+            process.add(&entry.id, report);
         }
     }
 
     fn whole_list(&self) -> Answer {
-        let workers = self.workers.iter();
-        let present = workers.filter(|worker| worker.member["phase"] != "removed");
         // A removed worker is missing in a whole list, which also reports that it is not up.
-        let not_up = self.workers.iter().filter(|worker| !worker.is_up());
-        self.answer(true, present, not_up)
+        let is_present = |worker: &&ListedWorker| worker.member["phase"] != "removed";
+        let present = self.workers.iter().filter(is_present);
+        let missing = self.workers.iter().filter(|worker| !is_present(worker));
+        self.answer(true, present, missing)
     }
 
     fn changes_after(&self, after: u64) -> Answer {
         let newer = |worker: &&ListedWorker| worker.revision > after;
         let changed = self.workers.iter().filter(newer);
-        let not_up = changed.clone().filter(|worker| !worker.is_up());
-        self.answer(false, changed, not_up)
+        self.answer(false, changed, std::iter::empty())
     }
 
-    /// An answer with these entries. `complete` marks a whole list, and `not_up` are the workers that the answer
-    /// reports as not up.
+    /// An answer with these entries. `complete` marks a whole list, and `missing` are the workers that it reports as
+    /// removed by leaving them out.
     fn answer<'a>(
         &self,
         complete: bool,
-        workers: impl Iterator<Item = &'a ListedWorker>,
-        not_up: impl Iterator<Item = &'a ListedWorker>,
+        listed: impl Iterator<Item = &'a ListedWorker> + Clone,
+        missing: impl Iterator<Item = &'a ListedWorker>,
     ) -> Answer {
-        let members: Vec<&Value> = workers.map(|worker| &worker.member).collect();
-        let id = |worker: &ListedWorker| worker.id().to_owned();
+        let members: Vec<&Value> = listed.clone().map(|worker| &worker.member).collect();
         Answer {
             body: json!({"revision": self.revision, "complete": complete, "members": members}),
-            not_up: not_up.map(id).collect(),
+            revision: self.revision,
+            told: listed.chain(missing).map(ToldEntry::from).collect(),
         }
     }
 }
@@ -394,22 +593,43 @@
         "cell": cell, "phase": phase, "size": 1.0, "up_since_ms": 0})
 }
 
+/// The bytes of an answer.
+struct EncodedAnswer {
+    bytes: Vec<u8>,
+    /// For each entry: the offset after its last byte.
+    entry_ends: Vec<usize>,
+}
+
 /// Encodes the head and the body of an answer.
-fn encode(form: AnswerForm, body: &Value) -> Vec<u8> {
+fn encode(form: AnswerForm, body: &Value) -> EncodedAnswer {
     let text = match form {
         AnswerForm::Indented => serde_json::to_string_pretty(body).unwrap_or_default(),
         AnswerForm::Compact | AnswerForm::Chunked => body.to_string(),
     };
+    let count = body["members"].as_array().map_or(0, Vec::len);
+    // Entries hold no braces, so the first closing ones are theirs.
+    let braces = text.match_indices('}').take(count);
+    let ends_in_text = braces.map(|(offset, brace)| offset + brace.len());
     if form != AnswerForm::Chunked {
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
-        return (head + &text).into_bytes();
+        return EncodedAnswer {
+            entry_ends: ends_in_text.map(|end| head.len() + end).collect(),
+            bytes: (head + &text).into_bytes(),
+        };
     }
     let mut bytes = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
-    for chunk in text.as_bytes().chunks(CHUNK_BYTES) {
+    let mut ends_in_text = ends_in_text.peekable();
+    let mut entry_ends = Vec::new();
+    for (number, chunk) in text.as_bytes().chunks(CHUNK_BYTES).enumerate() {
         bytes.extend(format!("{:x}\r\n", chunk.len()).bytes());
+        let chunk_start = number * CHUNK_BYTES;
+        let chunk_end = chunk_start + chunk.len();
+        while let Some(end) = ends_in_text.next_if(|end| *end <= chunk_end) {
+            entry_ends.push(bytes.len() + end - chunk_start);
+        }
         bytes.extend_from_slice(chunk);
         bytes.extend(b"\r\n");
     }
     bytes.extend(b"0\r\n\r\n");
-    bytes
+    EncodedAnswer { bytes, entry_ends }
 }
--- a/crates/test-support/src/environment.rs
+++ b/crates/test-support/src/environment.rs
@@ -75,6 +75,8 @@
     pub client_address: String,
     /// The address for operators, of the process that was started last.
     pub admin_address: String,
+    /// The address of discovery for the process that was started last.
+    discovery_address: SocketAddr,
     folder: PathBuf,
     options: EnvironmentOptions,
     processes: Vec<Child>,
@@ -126,6 +128,7 @@
         }
         prepare(&discovery);
         let mut environment = TestEnvironment {
+            discovery_address: discovery.address,
             discovery,
             workers,
             submission_address: "127.0.0.1:0".to_owned(),
@@ -172,7 +175,7 @@
             "must-ask-in-us":10000000}},
             "tenants":[{{"name":"au","quota-per-s":{quota},"share":0.5}},
             {{"name":"sued","quota-per-s":{quota},"share":0.5}}]}}}}"#,
-            self.discovery.address,
+            self.discovery_address,
             self.known_list()
         )
     }
@@ -186,6 +189,7 @@
     /// Writes the configuration, starts a process and waits until it has logged its addresses.
     fn spawn(&mut self) {
         self.spawn_count += 1;
+        self.discovery_address = self.discovery.begin_process();
         let config = self.folder.join("config.json");
         fs::write(&config, self.config()).expect("write the node configuration");
         let operator_file = self.folder.join("site.toml");
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -13,6 +13,7 @@
 mod http;
 mod lossy_proxy;
 mod network_link;
+mod notices;
 mod process_log;
 mod worker;
 mod worker_crowd;
--- a/crates/test-support/src/worker_crowd.rs
+++ b/crates/test-support/src/worker_crowd.rs
@@ -22,8 +22,10 @@
     pub worker: usize,
     /// When the first byte of the request was received.
     pub first_byte_at: Instant,
-    /// The request id, from `X-Txn`.
-    pub txn: String,
+    /// The address from which it came.
+    pub client: SocketAddr,
+    /// The request id, from `X-Txn`; `None` if the rest of the request did not arrive, or it is a probe.
+    pub txn: Option<String>,
 }
 
 /// A stub of many workers, which serves until the program exits.
@@ -102,15 +104,15 @@
             }
             for event in &events {
                 let number = event.data.u64() as usize;
-                while let Ok((stream, _)) = listeners[number].accept() {
+                while let Ok((stream, client)) = listeners[number].accept() {
                     let crowd = self.clone();
-                    std::thread::spawn(move || crowd.serve(number, stream));
+                    std::thread::spawn(move || crowd.serve(number, client, stream));
                 }
             }
         }
     }
 
-    fn serve(&self, worker: usize, mut stream: TcpStream) {
+    fn serve(&self, worker: usize, client: SocketAddr, mut stream: TcpStream) {
         let _ = (stream.set_nonblocking(false), stream.set_nodelay(true));
         let Ok(reader) = stream.try_clone() else {
             return;
@@ -122,23 +124,24 @@
                 _ => return,
             }
             let first_byte_at = Instant::now();
-            let Ok(Some(request)) = http::read(&mut reader) else {
-                return;
-            };
-            let Some(txn) = request.field("X-Txn") else {
-                return;
-            };
-            let answer = completed_answer(&WorkerCrowd::id(worker), txn);
-            let txn = txn.to_owned();
+            let request = http::read(&mut reader).ok().flatten();
+            let txn = request.and_then(|request| request.field("X-Txn").map(str::to_owned));
+            let answer = txn
+                .as_deref()
+                .map(|txn| completed_answer(&WorkerCrowd::id(worker), txn));
             let seen = SeenRequest {
                 worker,
                 first_byte_at,
+                client,
                 txn,
             };
             self.seen
                 .lock()
                 .expect("the lock is not poisoned")
                 .push(seen);
+            let Some(answer) = answer else {
+                return;
+            };
             if stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
