--- a/crates/node/tests/drain_soak.rs
+++ b/crates/node/tests/drain_soak.rs
@@ -6,6 +6,7 @@
 //!
 //! Long run: `MARBLEDECK_SOAK_SEEDS=1..51 cargo test --release -p marbledeck-node --test drain_soak -- --nocapture`.
 
+use marbledeck_test_support::soak::{Random, StallMeter};
 use marbledeck_test_support::{
     AnswerForm, Delivery, DiscoveryStub, EnvironmentOptions, JobClient, ListedEndpoint,
     SeenRequest, TestEnvironment, WorkerCrowd,
@@ -29,58 +30,6 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// SIGKILL comes this long after SIGTERM at the earliest: the longest deadline, counted as 3 s, plus 0.7 s.
 const KILL_AFTER: Duration = Duration::from_millis(3700);
-/// A thread that oversleeps by more than this shows that the machine stalled.
-const STALL: Duration = Duration::from_millis(20);
-
-/// SplitMix64 random number generator: the same seed yields the same steps.
-struct Random(u64);
-
-impl Random {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let x = (self.0 ^ self.0 >> 30).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        let x = (x ^ x >> 27).wrapping_mul(0x94D0_49BB_1331_11EB);
-        x ^ x >> 31
-    }
-
-    fn below(&mut self, limit: usize) -> usize {
-        (self.next() % limit as u64) as usize
-    }
-
-    fn millis(&mut self, range: Range<usize>) -> Duration {
-        let length = range.len();
-        Duration::from_millis((range.start + self.below(length)) as u64)
-    }
-}
-
-/// Records when and for how long this machine stalled. A delay during such a stall, which stops the workers' clocks,
-/// too, is not the node's fault.
-#[derive(Clone, Default)]
-struct StallMeter(Arc<Mutex<Vec<(Instant, Duration)>>>);
-
-impl StallMeter {
-    fn start(stop: Arc<AtomicBool>) -> Self {
-        let meter = StallMeter::default();
-        let found = meter.clone();
-        std::thread::spawn(move || {
-            while !stop.load(Ordering::SeqCst) {
-                let before = Instant::now();
-                sleep(Duration::from_millis(2));
-                let stall = before.elapsed();
-                if stall > STALL {
-                    found.0.lock().expect("no panic").push((before, stall));
-                }
-            }
-        });
-        meter
-    }
-
-    fn between(&self, from: Instant, to: Instant) -> Duration {
-        let found = self.0.lock().expect("no panic");
-        let within = found.iter().filter(|(at, _)| *at >= from && *at <= to);
-        within.map(|(_, stall)| *stall).sum()
-    }
-}
 
 /// Outcomes that the clients have seen, and the faults found.
 #[derive(Default)]
@@ -360,7 +309,7 @@
     let clients: Vec<JoinHandle<()>> = (0..CLIENTS)
         .map(|number| {
             let (run, address) = (run.clone(), address.clone());
-            let random = Random(seed << 16 | number as u64);
+            let random = Random::new(seed << 16 | number as u64);
             std::thread::spawn(move || run.client(number, &address, random))
         })
         .collect();
@@ -372,7 +321,7 @@
     };
     let idle: Vec<_> = (0..idle).map(|_| JobClient::connect(&address)).collect();
     let mut scenario = Scenario {
-        random: Random(seed),
+        random: Random::new(seed),
         environment,
         crowd,
         run: run.clone(),
--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::http;
 use crate::notices::{AnswerId, ProcessRecord, ReportsAround, WorkerReport};
 use serde_json::{json, Value};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -77,6 +77,10 @@
     fn is_up(&self) -> bool {
         self.member["phase"] == "up"
     }
+
+    fn cell(&self) -> u64 {
+        self.member["cell"].as_u64().unwrap_or_default()
+    }
 }
 
 #[derive(Default)]
@@ -196,17 +200,11 @@
     /// # Panics
     /// Another thread has panicked while it held the lock.
     pub fn set_worker(&self, id: &str, address: SocketAddr, phase: &str) {
-        let mut state = self.state();
-        state.revision += 1;
-        let revision = state.revision;
-        let member = member(id, address, phase, state.workers.len() / 3);
-        state.workers.retain(|worker| worker.member["id"] != id);
-        state.workers.push(ListedWorker { revision, member });
-        state.tell_pushed_lists();
-        self.state.1.notify_all();
+        self.set_workers(&[ListedEndpoint { id, address, phase }]);
     }
 
-    /// Sets the entries of several workers in one revision and moves them to the end of the list, in this order.
+    /// Sets the entries of several workers in one revision and moves them to the end of the list, in this order. A
+    /// worker that was listed before stays in its cell.
     ///
     /// # Panics
     /// Another thread has panicked while it held the lock.
@@ -216,9 +214,14 @@
         let revision = state.revision;
         let ids: HashSet<&str> = endpoints.iter().map(|endpoint| endpoint.id).collect();
         let is_changed = |worker: &ListedWorker| ids.contains(worker.id());
+        let changed = state.workers.iter().filter(|worker| is_changed(worker));
+        let cells: HashMap<String, u64> = changed
+            .map(|worker| (worker.id().to_owned(), worker.cell()))
+            .collect();
         state.workers.retain(|worker| !is_changed(worker));
         for endpoint in endpoints {
-            let cell = state.workers.len() / 3;
+            let cell = cells.get(endpoint.id).copied();
+            let cell = cell.unwrap_or(state.workers.len() as u64 / 3);
             let member = member(endpoint.id, endpoint.address, endpoint.phase, cell);
             state.workers.push(ListedWorker { revision, member });
         }
@@ -316,6 +319,16 @@
         process.not_up_since(id, moment)
     }
 
+    /// Returns since when a process had known at this moment that a worker is not up. `process` counts the calls of
+    /// [`DiscoveryStub::begin_process`], the one of [`DiscoveryStub::start`] included, from 0.
+    ///
+    /// # Panics
+    /// Another thread has panicked while it held the lock.
+    pub fn process_notice_at(&self, process: usize, id: &str, moment: Instant) -> Option<Instant> {
+        let state = self.state();
+        state.processes.get(process)?.not_up_since(id, moment)
+    }
+
     /// Describes all that the process of this moment was told about a worker, for a failure message.
     ///
     /// # Panics
@@ -588,7 +601,7 @@
 }
 
 /// The JSON form of an entry.
-fn member(id: &str, address: SocketAddr, phase: &str, cell: usize) -> Value {
+fn member(id: &str, address: SocketAddr, phase: &str, cell: u64) -> Value {
     json!({"id": id, "host_port": address.to_string(), "locality": "east", "flavor": "std",
         "cell": cell, "phase": phase, "size": 1.0, "up_since_ms": 0})
 }
--- a/crates/test-support/src/environment.rs
+++ b/crates/test-support/src/environment.rs
@@ -14,6 +14,10 @@
 /// Time limit of every wait. It is far longer than a wait takes unless the test fails.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The settings of the class that must not run more than once, after those of the other classes.
+const UNSAFE_CLASS: &str =
+    r#",{"name":"print","effect":"unsafe","promise-us":5000000,"deadline-us":7500000}"#;
+
 /// Options of a [`TestEnvironment`].
 #[derive(Clone, Debug)]
 pub struct EnvironmentOptions {
@@ -42,6 +46,8 @@
     pub known: Option<serde_json::Value>,
     /// The log level of the node.
     pub log_level: &'static str,
+    /// Whether there is a third class of jobs, `print`, which must not run more than once.
+    pub has_unsafe_class: bool,
 }
 
 impl Default for EnvironmentOptions {
@@ -59,10 +65,18 @@
             registry_mode: "subscribe",
             known: None,
             log_level: "info",
+            has_unsafe_class: false,
         }
     }
 }
 
+/// A second process of a node that was started and may not serve yet.
+#[must_use = "the environment knows its addresses only after `await_successor`"]
+pub struct LaunchedSuccessor {
+    /// Number of log lines before its start.
+    log_length: usize,
+}
+
 /// A node with the stubs that it speaks to. Dropping it kills the node's processes.
 pub struct TestEnvironment {
     /// The stub of discovery.
@@ -156,6 +170,11 @@
         }
         let may_gossip = !self.options.peers.is_empty();
         let mode = self.options.registry_mode;
+        let (unsafe_kind, unsafe_stretch, unsafe_class) = if self.options.has_unsafe_class {
+            (",-1", ",2.0", UNSAFE_CLASS)
+        } else {
+            ("", "", "")
+        };
         format!(
             r#"{{"name":"n0","seed":"{spawn_count:x}7","discovery":"{}",
             "limits":{{"memory_mb":{memory},"sockets":{sockets}}},
@@ -163,14 +182,14 @@
             "known":{},
             "settings":{{"balancers":1,"self-index":0,"zone":0,"localities":["east"],"kinds":["std"],
             "registry-mode":"{mode}","stats":{{"fields":["x0"],"how":"piggyback"}},
-            "family-info":{{"class-kind":[-1,-1],"class-stretch":[2.0,2.5],"report-x0":"free slots",
+            "family-info":{{"class-kind":[-1,-1{unsafe_kind}],"class-stretch":[2.0,2.5{unsafe_stretch}],"report-x0":"free slots",
             "tells-start":true,"progress-us":1000000}},
             "bounds":{{"conn-idle-us":5000000,"connect-timeout-us":250000,"max-open":200000,
             "max-retry-after-us":2000000,"may-cancel":true,"may-tell":{may_gossip},"probes":false,"retry-after":true,
             "second-copies":true,"try-limit":3}},
             "profiles":[{{"name":"preview","effect":"safe","promise-us":5000000,"deadline-us":7500000}},
             {{"name":"sheet-publish","effect":"keyed","dedup-scope":"cell","dedup-window-us":40000000,
-            "promise-us":20000000,"deadline-us":25000000}}],
+            "promise-us":20000000,"deadline-us":25000000}}{unsafe_class}],
             "rules":{{"cold-from":0.38,"overload-factor":4.0,"tip-after-us":1500000,"warm-up-us":8400000,
             "must-ask-in-us":10000000}},
             "tenants":[{{"name":"au","quota-per-s":{quota},"share":0.5}},
@@ -186,8 +205,14 @@
         known.unwrap_or_else(|| self.discovery.endpoint_list())
     }
 
-    /// Writes the configuration, starts a process and waits until it has logged its addresses.
+    /// Starts a process and waits until it has logged its addresses.
     fn spawn(&mut self) {
+        let log_length = self.launch();
+        self.await_addresses(log_length);
+    }
+
+    /// Writes the configuration and starts a process. Returns the number of log lines before.
+    fn launch(&mut self) -> usize {
         self.spawn_count += 1;
         self.discovery_address = self.discovery.begin_process();
         let config = self.folder.join("config.json");
@@ -217,6 +242,11 @@
         let log_length = self.log.len();
         self.log
             .follow(stderr, format!("node {}", self.spawn_count));
+        log_length
+    }
+
+    /// Waits until the process that was started last has logged its addresses, after this number of log lines.
+    fn await_addresses(&mut self, log_length: usize) {
         let wait_for = |text| self.log.wait_for(log_length, text, TIMEOUT);
         let submission_address = wait_for("takes submissions at ");
         let admin_address = wait_for("answers operators at ");
@@ -230,7 +260,23 @@
     /// # Panics
     /// The new process does not serve within the time limit.
     pub fn start_successor(&mut self) {
-        self.spawn();
+        let successor = self.launch_successor();
+        self.await_successor(successor);
+    }
+
+    /// Starts a second process of the node, which takes over from the running one, and does not wait for it.
+    pub fn launch_successor(&mut self) -> LaunchedSuccessor {
+        LaunchedSuccessor {
+            log_length: self.launch(),
+        }
+    }
+
+    /// Waits until the process that was started last serves.
+    ///
+    /// # Panics
+    /// It does not serve within the time limit.
+    pub fn await_successor(&mut self, successor: LaunchedSuccessor) {
+        self.await_addresses(successor.log_length);
         let deadline = Instant::now() + TIMEOUT;
         while self.call_admin("check").as_deref() != Some("ACK serving") {
             assert!(
@@ -249,6 +295,11 @@
         self.log.wait_for(0, text, TIMEOUT)
     }
 
+    /// Returns all log lines so far, of all processes.
+    pub fn log_lines(&self) -> Vec<String> {
+        self.log.all()
+    }
+
     /// Returns whether any process has logged a line that contains `text`.
     pub fn has_logged(&self, text: &str) -> bool {
         self.log.contains(text)
@@ -359,25 +410,51 @@
     pub fn terminate_and_restart(&mut self, kill_after: Duration) -> bool {
         let last = self.processes.len() - 1;
         self.signal(last, "-TERM");
+        let ended = self.reap(last, kill_after);
+        self.spawn();
+        ended
+    }
+
+    /// Kills the process that was started last, and starts another one at the same addresses.
+    pub fn crash_and_restart(&mut self) {
+        self.kill(self.processes.len() - 1);
+        self.spawn();
+    }
+
+    /// Kills a process and waits for its end. `index` counts the processes that were not killed yet in the order of
+    /// their start, from 0.
+    pub fn kill(&mut self, index: usize) {
+        let mut child = self.processes.remove(index);
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    /// Waits for a process to exit by itself and kills it if it does not within `kill_after`. `index` is as in
+    /// [`TestEnvironment::kill`]. Returns whether it exited with status 0.
+    pub fn reap(&mut self, index: usize, kill_after: Duration) -> bool {
         let deadline = Instant::now() + kill_after;
         let mut status = None;
         while status.is_none() && Instant::now() < deadline {
-            status = self.processes[last].try_wait().ok().flatten();
+            status = self.processes[index].try_wait().ok().flatten();
             std::thread::sleep(Duration::from_millis(5));
         }
-        self.crash_and_restart();
+        self.kill(index);
         status.is_some_and(|status| status.success())
     }
 
-    /// Kills the process that was started last, and starts another one at the same addresses.
-    pub fn crash_and_restart(&mut self) {
-        if let Some(mut child) = self.processes.pop() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+    /// Starts a process at the same addresses after the one before has ended, and waits until it accepts connections.
+    ///
+    /// # Panics
+    /// The node does not start.
+    pub fn start_again(&mut self) {
         self.spawn();
     }
 
+    /// Returns the number of processes that were started and not killed or reaped.
+    pub fn running(&self) -> usize {
+        self.processes.len()
+    }
+
     /// Returns the peak resident memory of the process that was started last, in KiB.
     pub fn peak_kib(&self) -> Option<u64> {
         let pid = self.processes.last()?.id();
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -16,6 +16,7 @@
 mod network_link;
 mod notices;
 mod process_log;
+pub mod soak;
 mod worker;
 mod worker_crowd;
 
--- a/crates/test-support/src/process_log.rs
+++ b/crates/test-support/src/process_log.rs
@@ -39,6 +39,11 @@
         self.lines().len()
     }
 
+    /// Returns all lines so far.
+    pub fn all(&self) -> Vec<String> {
+        self.lines().clone()
+    }
+
     /// Returns whether a line contains `text`.
     pub fn contains(&self, text: &str) -> bool {
         self.lines().iter().any(|line| line.contains(text))
--- a/crates/test-support/src/worker.rs
+++ b/crates/test-support/src/worker.rs
@@ -3,7 +3,7 @@
 
 use crate::accept::{listen, serve_connections};
 use crate::http::{self, Request};
-use std::io::{BufReader, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -25,6 +25,8 @@
     pub target: String,
     /// The request body.
     pub body: Vec<u8>,
+    /// When the first byte of the request was received.
+    pub first_byte_at: Instant,
     /// When the last byte of the request was received.
     pub received_at: Instant,
 }
@@ -67,6 +69,7 @@
     slots: usize,
     running: Arc<AtomicUsize>,
     max_running: Arc<AtomicUsize>,
+    answered: Arc<AtomicUsize>,
     started: Arc<Mutex<Vec<ReceivedJob>>>,
     behaviour: Arc<Mutex<Behaviour>>,
 }
@@ -87,6 +90,7 @@
             slots,
             running: Arc::default(),
             max_running: Arc::default(),
+            answered: Arc::default(),
             started: Arc::default(),
             behaviour: Arc::new(Mutex::new(Arc::new(complete_soon))),
         };
@@ -121,6 +125,11 @@
         self.max_running.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of started jobs whose last answer is written.
+    pub fn answered_jobs(&self) -> usize {
+        self.answered.load(Ordering::SeqCst)
+    }
+
     /// The load report: the number of free slots.
     fn load_report(&self) -> String {
         let running = self.running.load(Ordering::SeqCst);
@@ -134,8 +143,12 @@
             return;
         };
         let mut reader = BufReader::new(reader);
-        while let Ok(Some(request)) = http::read(&mut reader) {
-            if self.answer(&mut stream, request).is_none() {
+        while reader.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
+            let first_byte_at = Instant::now();
+            let Ok(Some(request)) = http::read(&mut reader) else {
+                return;
+            };
+            if self.answer(&mut stream, request, first_byte_at).is_none() {
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
             }
@@ -143,11 +156,17 @@
     }
 
     /// Handles one job. Returns `None` if the connection must be closed.
-    fn answer(&self, stream: &mut TcpStream, request: Request) -> Option<()> {
+    fn answer(
+        &self,
+        stream: &mut TcpStream,
+        request: Request,
+        first_byte_at: Instant,
+    ) -> Option<()> {
         let job = ReceivedJob {
             txn: request.field("X-Txn")?.to_owned(),
             key: request.field("Idempotency-Key").map(str::to_owned),
             target: request.target.clone(),
+            first_byte_at,
             received_at: Instant::now(),
             body: request.body,
         };
@@ -217,7 +236,9 @@
         });
         let fields = format!("{result},\"load\":{}", self.load_report());
         let last = self.chunk(txn, state, &fields) + "0\r\n\r\n";
-        stream.write_all(last.as_bytes()).ok()
+        let written = stream.write_all(last.as_bytes()).ok();
+        self.answered.fetch_add(1, Ordering::SeqCst);
+        written
     }
 
     /// One JSON line of an answer, as a chunk. `fields` holds additional JSON fields.
