Leave a request unread that follows the last answer of a connection

What callers saw: an answer without Connection: close, the end of the connection, and for the next request nothing: it was read and thrown away. A request that is read and not answered is lost; unread, the client sends it once more.

Cause: a connection that ends between two requests leaves its input unread only if its last answer was written already. With an answer still in the buffer (answer and SIGTERM in one turn of the loop, a successor serves) it ended as one that was told to close: Lingering, which discards.

Change: a closing connection knows what happens to its input (Closing), whether its output is written at once or later; reading stops at once where the input is left unread.

--- a/crates/node/src/net/closing.rs
+++ b/crates/node/src/net/closing.rs
@@ -1,10 +1,9 @@
 //! Closes connections: immediately, after their output is written, or between two requests.
 
-use super::conn::State;
+use super::conn::Closing;
 use super::{Net, Peer, Socket, Token};
 use crate::clock::millis;
 use marbledeck_dispatcher::Micros;
-use rustix::net::Shutdown;
 
 /// How long a connection that is being closed may take to send its output and wait for the peer's close. After this, a
 /// peer that keeps sending or reads nothing no longer holds a descriptor.
@@ -53,7 +52,7 @@
             return;
         };
         let peer = slot.peer;
-        let is_closing = matches!(&slot.socket, Socket::Stream(conn) if conn.closing);
+        let is_closing = matches!(&slot.socket, Socket::Stream(conn) if conn.closing.is_some());
         *self.closing.of_mut(peer) -= usize::from(is_closing);
         // Closing the only descriptor also removes it from the epoll instance.
         self.slots[token.index()] = None;
@@ -62,29 +61,32 @@
 
     /// Closes a connection after its output is written. No further events are reported for it.
     pub fn close_after_flush(&mut self, token: Token) {
+        self.begin_closing(token, Closing::DiscardInput);
+    }
+
+    /// Closes a connection between two requests, when no response is outstanding. Later input is left unread, so that
+    /// the sender gets a reset and knows that it was not accepted.
+    pub fn shut_down_idle(&mut self, token: Token) {
+        self.begin_closing(token, Closing::LeaveUnread);
+        if let Some(conn) = self.get(token).filter(|conn| conn.output.is_empty()) {
+            conn.shut_down(Closing::LeaveUnread);
+        }
+    }
+
+    fn begin_closing(&mut self, token: Token, closing: Closing) {
         let deadline = self.now + LINGER_TIMEOUT;
         let Some(slot) = self.slot(token) else {
             return;
         };
         let peer = slot.peer;
-        if let Some(conn) = self.get(token).filter(|conn| !conn.closing) {
-            conn.closing = true;
+        if let Some(conn) = self.get(token).filter(|conn| conn.closing.is_none()) {
+            conn.closing = Some(closing);
             *self.closing.of_mut(peer) += 1;
             self.lingering.push_back(Lingering { deadline, token });
             self.touch(token);
         }
     }
 
-    /// Closes a connection between two requests, when no response is outstanding. Later input is left unread, so that
-    /// the sender gets a reset and knows that it was not accepted.
-    pub fn shut_down_idle(&mut self, token: Token) {
-        self.close_after_flush(token);
-        if let Some(conn) = self.get(token).filter(|conn| conn.output.is_empty()) {
-            let _ = rustix::net::shutdown(&conn.fd, Shutdown::Write);
-            conn.state = State::LingeringUnread;
-        }
-    }
-
     /// The number of connections that are being closed and still hold their descriptors: operators' connections if
     /// `peer` is an operator, else all others.
     pub fn closing_count(&self, peer: Peer) -> usize {
@@ -116,7 +118,7 @@
     /// Whether the output of all connections that are being closed was written to their sockets.
     pub fn is_flushed(&self) -> bool {
         !self.slots.iter().flatten().any(|slot| match &slot.socket {
-            Socket::Stream(conn) => conn.closing && !conn.output.is_empty(),
+            Socket::Stream(conn) => conn.closing.is_some() && !conn.output.is_empty(),
             _ => false,
         })
     }
--- a/crates/node/src/net/conn.rs
+++ b/crates/node/src/net/conn.rs
@@ -5,7 +5,7 @@
 use rustix::event::epoll::EventFlags;
 use rustix::fd::OwnedFd;
 use rustix::io::Errno;
-use rustix::net::{sockopt, RecvFlags, SendFlags};
+use rustix::net::{sockopt, RecvFlags, SendFlags, Shutdown};
 
 /// The maximum number of bytes read from one connection in one turn, which bounds the delay for the other connections
 /// and the timers.
@@ -26,6 +26,15 @@
     LingeringUnread,
 }
 
+/// What happens to later input of a connection that is being closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Closing {
+    /// It is discarded: the peer expects nothing more on this connection.
+    DiscardInput,
+    /// It is left unread: it may be a request, whose sender must learn that it was not accepted.
+    LeaveUnread,
+}
+
 /// Why reading from a connection stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReadStop {
@@ -47,8 +56,8 @@
     pub eof: bool,
     /// Whether the connection has failed.
     pub broken: bool,
-    /// Whether it is to be closed once the output is written.
-    pub(super) closing: bool,
+    /// Set if it is to be closed once the output is written.
+    pub(super) closing: Option<Closing>,
     /// Whether the end of the peer's input is reported at once, even if the input buffer is full.
     pub(super) reports_eof: bool,
     /// The events that the epoll instance waits for.
@@ -64,7 +73,7 @@
             state,
             eof: false,
             broken: false,
-            closing: false,
+            closing: None,
             reports_eof: false,
             interest: EventFlags::empty(),
         }
@@ -80,6 +89,11 @@
         self.state == State::Connecting
     }
 
+    /// Whether it is being closed and leaves its input unread.
+    fn leaves_unread(&self) -> bool {
+        self.closing == Some(Closing::LeaveUnread)
+    }
+
     /// Whether all output is written and only the peer's close is awaited.
     pub(super) fn is_lingering(&self) -> bool {
         matches!(self.state, State::Lingering | State::LingeringUnread)
@@ -92,6 +106,7 @@
         }
         let stopped = match self.state {
             State::LingeringUnread => ReadStop::Drained,
+            State::Open if self.leaves_unread() => ReadStop::Drained,
             State::Lingering => {
                 self.discard_input();
                 ReadStop::Drained
@@ -101,7 +116,8 @@
         // Both directions are closed. Without this, the event would be reported repeatedly while the input is full.
         let failed = flags.intersects(EventFlags::ERR | EventFlags::HUP);
         self.broken |= stopped == ReadStop::Drained && failed;
-        self.eof |= self.reports_eof && flags.intersects(PEER_CLOSED);
+        let reports_eof = self.reports_eof || self.leaves_unread();
+        self.eof |= reports_eof && flags.intersects(PEER_CLOSED);
     }
 
     /// Checks whether the connect has succeeded.
@@ -174,6 +190,18 @@
         }
     }
 
+    /// Ends sending after all output is written, and begins to linger.
+    pub(super) fn shut_down(&mut self, closing: Closing) {
+        let _ = rustix::net::shutdown(&self.fd, Shutdown::Write);
+        self.state = match closing {
+            Closing::DiscardInput => {
+                self.input.consume(usize::MAX);
+                State::Lingering
+            }
+            Closing::LeaveUnread => State::LingeringUnread,
+        };
+    }
+
     /// Whether an idle connection can be reused: it is open and has no unread input. Peeks at the socket to detect that
     /// the peer has just closed it.
     pub(super) fn is_reusable(&self) -> bool {
@@ -187,7 +215,7 @@
     /// The events that the epoll instance should wait for in the current state.
     pub(super) fn wanted(&self) -> EventFlags {
         let mut wanted = EventFlags::empty();
-        let unread = self.state == State::LingeringUnread;
+        let unread = self.leaves_unread();
         let connecting = self.state == State::Connecting;
         if !self.input.is_full() && !unread && !self.eof && !connecting {
             wanted |= EventFlags::IN;
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -17,7 +17,7 @@
 use rustix::event::{PollFd, PollFlags, Timespec};
 use rustix::fd::OwnedFd;
 use rustix::io::Errno;
-use rustix::net::{sockopt, Shutdown};
+use rustix::net::sockopt;
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -294,13 +294,12 @@
         };
         conn.flush();
         let is_done = conn.output.is_empty() || conn.broken;
-        if conn.closing && !conn.is_lingering() && is_done {
+        let closing = conn.closing.filter(|_| is_done && !conn.is_lingering());
+        if let Some(closing) = closing {
             if conn.broken || conn.eof {
                 return self.close(token);
             }
-            let _ = rustix::net::shutdown(&conn.fd, Shutdown::Write);
-            conn.state = State::Lingering;
-            conn.input.consume(usize::MAX);
+            conn.shut_down(closing);
         }
         let wanted = conn.wanted();
         if wanted != std::mem::replace(&mut conn.interest, wanted) {
@@ -358,7 +357,7 @@
             self.close(token);
             return None;
         }
-        if conn.closing {
+        if conn.closing.is_some() {
             if conn.broken || conn.eof && conn.output.is_empty() {
                 self.close(token);
             } else {
