--- a/crates/node/tests/closing_connections.rs
+++ b/crates/node/tests/closing_connections.rs
@@ -9,6 +9,8 @@
 
 /// Much longer than any step takes, so only a failure reaches it.
 const STEP_TIMEOUT: Duration = Duration::from_secs(20);
+/// Bounds the number of connections that a test opens.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(10);
 /// Longer than a node leaves a connection half open that it has ended.
 const RESET_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -25,6 +27,37 @@
     answer.map(|answer| answer.status)
 }
 
+/// Opens connections until the node refuses them, and returns the last one.
+fn last_accepted_connection(environment: &TestEnvironment) -> JobConnection {
+    let mut connections = Vec::new();
+    while let Ok(connection) = JobConnection::connect(&environment.client_address) {
+        connections.push(connection);
+        sleep(CONNECT_INTERVAL);
+    }
+    connections.pop().expect("a connection")
+}
+
+/// Guards against a request that is read and thrown away because it comes right after the node has ended a connection
+/// on which nothing had come: unread, it is reset, and its client may send it again.
+#[test]
+fn a_request_on_a_new_connection_that_has_just_ended_is_left_unread() {
+    let environment = TestEnvironment::start(EnvironmentOptions::default());
+    environment.signal(0, "-TERM");
+    let mut connection = last_accepted_connection(&environment);
+    let ended = receive(&mut connection);
+    assert!(
+        matches!(ended, Err(ReceiveError::Ended { received: 0 })),
+        "{ended:?}"
+    );
+    connection
+        .send(&request("late"))
+        .expect("a written request");
+    assert!(
+        connection.is_reset_within(RESET_TIMEOUT),
+        "the request was read"
+    );
+}
+
 /// Guards against a next request that is read and thrown away because its connection ends in the turn of the answer.
 #[test]
 fn a_request_after_an_answer_that_was_the_last_one_is_left_unread() {
