Reject a request that is not complete when the node stops accepting

What callers saw: the end of the connection in the middle of a request, and no answer; what they sent of it had been read. They cannot know whether the request has an effect.

Cause: drop_incomplete closed these connections without a word.

Evidence: half a request before SIGTERM; on the old code the connection ended after 0 bytes.

Change: 503 "ending" with Retry-After and Connection: close, as /ready says. The request was never forwarded, so trying again is harmless.

--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -206,17 +206,15 @@
         }
     }
 
-    /// Ends the connections on which no complete request has arrived. A request that comes later on one on which nothing
-    /// has come is left unread, so that its client may send it again.
+    /// Ends the connections on which no complete request has arrived. A request of which a part has come is rejected; one
+    /// that comes later is left unread, so that its client may send it again.
     pub fn drop_incomplete(&mut self, net: &mut Net) {
         let clients = self.connections.iter();
         let incomplete = clients.filter(|(_, client)| !client.awaits_answer());
         for token in incomplete.map(|(token, _)| *token).collect::<Vec<_>>() {
             let stage = self.connections.get(&token).map(|client| &client.stage);
             if !matches!(stage, Some(Stage::Idle)) {
-                self.forget(token);
-                // Closes after flushing, so that a reset doesn't destroy an earlier answer on its way to the client.
-                net.close_after_flush(token);
+                self.refuse(token, &Notice::new(503, "ending"), net);
             } else if net.is_reusable(token) {
                 self.forget(token);
                 net.shut_down_idle(token);
--- a/crates/node/tests/closing_connections.rs
+++ b/crates/node/tests/closing_connections.rs
@@ -58,6 +58,21 @@
     );
 }
 
+/// Guards against a request whose first half was read and whose connection then ends without an answer.
+#[test]
+fn a_request_that_is_not_complete_when_the_node_ends_is_answered() {
+    let environment = TestEnvironment::start(EnvironmentOptions::default());
+    let mut connection = JobConnection::connect(&environment.client_address).expect("a connection");
+    let bytes = request("half").encode();
+    let half = connection.send_bytes(&bytes[..bytes.len() / 2]);
+    half.expect("a written half");
+    environment.signal(0, "-TERM");
+    let answer = connection.receive(Instant::now() + STEP_TIMEOUT);
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, answer.closes), (503, true));
+    assert!(answer.retry_after.is_some());
+}
+
 /// Guards against a next request that is read and thrown away because its connection ends in the turn of the answer.
 #[test]
 fn a_request_after_an_answer_that_was_the_last_one_is_left_unread() {
