Never free a descriptor by closing a connection with an unwritten answer

What callers saw: where descriptors are short, no answer to a request that a worker had served: the connection ended after 0 bytes.

Cause: Clients::make_room closes the connection that has been closing longest, whether or not its answer has left the buffer, and evicts an idle one in the same turn in which it was answered. Answers are written at the end of a turn, so an answer and a new connection in one turn lose the answer.

Change: close_oldest_lingering writes the output and discards the input first, takes the oldest of eight that has nothing left, and tells whether there was one; make_room evicts only connections whose output is written. Operators' callers likewise; one that finds no room is closed unread instead of exceeding the bound.

--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -103,8 +103,8 @@
         for _ in 0..ACCEPTS_PER_TURN {
             match net.accept(self.listener) {
                 Ok(None) => return,
+                Ok(Some(token)) if !self.make_room(net) => net.close(token),
                 Ok(Some(token)) => {
-                    self.make_room(net);
                     let deadline = now + CALL_TIMEOUT;
                     self.callers.push_back(Caller { token, deadline });
                 }
@@ -120,17 +120,17 @@
     }
 
     /// Makes room for one more caller: closes the oldest answered connection, or else the caller that has waited
-    /// longest without a call.
-    fn make_room(&mut self, net: &mut Net) {
+    /// longest without a call. Returns whether there is room.
+    fn make_room(&mut self, net: &mut Net) -> bool {
         let answered = net.closing_count(Peer::Operator);
         if self.callers.len() + answered < self.max_callers {
-            return;
+            return true;
         }
-        if answered > 0 {
-            net.close_oldest_lingering(Peer::Operator);
-        } else if let Some(oldest) = self.callers.pop_front() {
-            net.close(oldest.token);
+        if net.close_oldest_lingering(Peer::Operator) {
+            return true;
         }
+        let oldest = self.callers.pop_front();
+        oldest.map(|oldest| net.close(oldest.token)).is_some()
     }
 
     /// Reads input from a caller. Returns its call once it is complete; the caller then expects one answer.
--- a/crates/node/src/clients/eviction.rs
+++ b/crates/node/src/clients/eviction.rs
@@ -17,12 +17,11 @@
     ///
     /// Prefers a connection that is already being closed, then the oldest that has sent nothing, then the oldest with
     /// an incomplete request, then the one that has been idle longest. A silent or idle connection with unread input is
-    /// skipped. A new connection is closed only if there is no other: its request is on its way, and when the
+    /// skipped, and so is any whose answer is not written to its socket yet. A new connection is closed only if there is no other: its request is on its way, and when the
     /// descriptors are held by many clients that keep their connections after a request, each new client would
     /// otherwise be evicted by the next one before it is served.
     pub(super) fn make_room(&mut self, now: Micros, net: &mut Net) -> bool {
-        if net.closing_count(Peer::Client) > 0 {
-            net.close_oldest_lingering(Peer::Client);
+        if net.close_oldest_lingering(Peer::Client) {
             return true;
         }
         let token = self.find_evictable(now, NewConnections::Spared, net);
@@ -35,9 +34,11 @@
     fn find_evictable(&self, now: Micros, new: NewConnections, net: &mut Net) -> Option<Token> {
         let mut candidates = self.evictable.iter();
         let found = candidates.find(|(key, token)| {
+            let is_flushed = net.get(**token).is_some_and(|conn| conn.output.is_empty());
             let connection = self.connections.get(token);
             let is_old = connection.is_some_and(|connection| !connection.is_new(now));
-            (is_old || new == NewConnections::Included)
+            is_flushed
+                && (is_old || new == NewConnections::Included)
                 && (key.rank == EvictionRank::Incomplete || net.is_reusable(**token))
         });
         found.map(|(_, token)| *token)
--- a/crates/node/src/net/closing.rs
+++ b/crates/node/src/net/closing.rs
@@ -1,6 +1,6 @@
 //! Closes connections: immediately, after their output is written, or between two requests.
 
-use super::conn::Closing;
+use super::conn::{Closing, Connection};
 use super::{Net, Peer, Socket, Token};
 use crate::clock::millis;
 use marbledeck_dispatcher::Micros;
@@ -9,6 +9,9 @@
 /// peer that keeps sending or reads nothing no longer holds a descriptor.
 const LINGER_TIMEOUT: Micros = millis(3000);
 
+/// How many connections that are being closed are tried at most to free a descriptor.
+const MAX_CLOSE_ATTEMPTS: usize = 8;
+
 /// A connection that is being closed, and the time at which it is closed whatever its peer does.
 pub(super) struct Lingering {
     pub(super) deadline: Micros,
@@ -93,18 +96,31 @@
         self.closing.of(peer)
     }
 
-    /// Immediately closes the one of these connections that has been closing longest, to free its descriptor.
-    pub fn close_oldest_lingering(&mut self, peer: Peer) {
-        let slots = &self.slots;
-        let is_wanted = |lingering: &Lingering| {
-            let slot = slots[lingering.token.index()].as_ref();
-            slot.filter(|slot| slot.token == lingering.token)
-                .is_some_and(|slot| is_operator(slot.peer) == is_operator(peer))
+    /// Immediately closes the one of these connections that has been closing longest and has no output left, to free
+    /// its descriptor. Returns whether there was one; only the first [`MAX_CLOSE_ATTEMPTS`] are tried.
+    pub fn close_oldest_lingering(&mut self, peer: Peer) -> bool {
+        let candidates: Vec<Token> = self.lingering_of(peer).take(MAX_CLOSE_ATTEMPTS).collect();
+        let can_end = |token: &Token| {
+            let conn = self.get(*token);
+            conn.is_some_and(Connection::finish_closing)
         };
-        let index = self.lingering.iter().position(is_wanted);
-        if let Some(oldest) = index.and_then(|index| self.lingering.remove(index)) {
-            self.close(oldest.token);
-        }
+        let Some(token) = candidates.into_iter().find(can_end) else {
+            return false;
+        };
+        self.lingering.retain(|lingering| lingering.token != token);
+        self.close(token);
+        true
+    }
+
+    /// The connections that are being closed, the longest first: operators' connections if `peer` is an operator, else
+    /// all others.
+    fn lingering_of(&self, peer: Peer) -> impl Iterator<Item = Token> + '_ {
+        let tokens = self.lingering.iter().map(|lingering| lingering.token);
+        tokens.filter(move |token| {
+            let slot = self.slots[token.index()].as_ref();
+            slot.filter(|slot| slot.token == *token)
+                .is_some_and(|slot| is_operator(slot.peer) == is_operator(peer))
+        })
     }
 
     /// Closes the connections whose linger timeout has passed.
--- a/crates/node/src/net/conn.rs
+++ b/crates/node/src/net/conn.rs
@@ -158,9 +158,9 @@
         }
     }
 
-    /// Discards the input of a connection that is being closed. Bypasses the ring buffer and reads larger pieces than
+    /// Discards the input that has arrived. Bypasses the ring buffer and reads larger pieces than
     /// its initial size, since as much as 60 MB may follow.
-    fn discard_input(&mut self) {
+    pub(super) fn discard_input(&mut self) {
         let mut discarded = [0u8; DISCARD_CHUNK];
         for _ in 0..MAX_READ / DISCARD_CHUNK {
             match rustix::io::read(&self.fd, &mut discarded) {
@@ -202,6 +202,17 @@
         };
     }
 
+    /// Prepares a connection that is being closed for its immediate end: writes its output and discards its input.
+    /// Returns whether nothing is lost by the end.
+    pub(super) fn finish_closing(&mut self) -> bool {
+        self.flush();
+        // A close over unread bytes would reset the connection, and the response on its way with it.
+        if !self.leaves_unread() {
+            self.discard_input();
+        }
+        self.output.is_empty() || self.broken
+    }
+
     /// Whether an idle connection can be reused: it is open and has no unread input. Peeks at the socket to detect that
     /// the peer has just closed it.
     pub(super) fn is_reusable(&self) -> bool {
