Listen for a successor again after one was lost

What callers saw: after a successor had died, the next upgrade took over nothing ("cannot take over from the running process: Connection refused"). Workers that operators had taken out got jobs again, batch jobs and sessions were forgotten, both processes used the whole limits, and the old one's listener was closed with what waited in its queue.

Cause: a successor binds its own socket over the path of the old process as soon as it starts. When it dies, nothing listens there, although the old process goes on serving.

Change: a process that loses its successor binds the path again, unless it no longer accepts connections and has nothing to hand over.

--- a/crates/node/src/handover/mod.rs
+++ b/crates/node/src/handover/mod.rs
@@ -18,7 +18,7 @@
 use std::io;
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::UnixListener;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// The length of the head before the state: eight hexadecimal digits of the state's length, and a line feed.
 const HEAD_LENGTH: usize = 9;
@@ -74,6 +74,8 @@
 
 /// The links to the other processes of this node.
 pub struct Handover {
+    /// Where successors find this process; none if it cannot be replaced.
+    path: Option<PathBuf>,
     listener: Option<Token>,
     predecessor: Predecessor,
     successor: Successor,
@@ -83,21 +85,33 @@
     /// Listens at this path for a successor. `predecessor` is the link to the process that this one replaces, if there
     /// is one.
     pub fn new(path: Option<&Path>, predecessor: Option<Token>, net: &mut Net) -> Self {
-        let listener = path.and_then(|path| match listen(path, net) {
-            Ok(token) => Some(token),
-            Err(e) => {
-                log::warn!(
-                    "cannot listen for a successor at {}: {e}; \
-                     an upgrade will not take over sockets and state",
-                    path.display()
-                );
-                None
-            }
-        });
-        Handover {
-            listener,
+        let mut handover = Handover {
+            path: path.map(Path::to_owned),
+            listener: None,
             predecessor: predecessor.map_or(Predecessor::None, Predecessor::Serving),
             successor: Successor::None,
+        };
+        handover.listen(net);
+        handover
+    }
+
+    /// Listens for a successor. To be called again after a successor was lost: it had taken over the path, where
+    /// nothing listens after its end.
+    pub fn listen(&mut self, net: &mut Net) {
+        let Some(path) = &self.path else {
+            return;
+        };
+        match listen(path, net) {
+            Ok(listener) => {
+                if let Some(earlier) = self.listener.replace(listener) {
+                    net.close(earlier);
+                }
+            }
+            Err(e) => log::warn!(
+                "cannot listen for a successor at {}: {e}; \
+                 an upgrade will not take over sockets and state",
+                path.display()
+            ),
         }
     }
 
--- a/crates/node/src/node/replacement.rs
+++ b/crates/node/src/node/replacement.rs
@@ -107,6 +107,9 @@
             Some(HandoverEvent::Lost(side)) => {
                 log::info!("lost the connection to the other process ({side:?})");
                 self.notify_lost_partner(now, side);
+                if side == Side::Successor && !self.lifecycle.is_closed() {
+                    self.handover.listen(&mut self.context.net);
+                }
             }
             None => {}
         }
