Check the bound of 8,192 workers before an entry is entered

Cause: ListUpdate::apply entered the entry first and counted then. The list was refused, but at the next call the entry was known by its digest, and the one after it was entered.

Change: an entry that adds a worker to a full list is refused before it is entered; known and removed ones are applied as before. The test finds 8,192; large_lists, list_reader and discovery pass.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -142,6 +142,11 @@
         self.sources[source.0].records.len()
     }
 
+    /// Whether a source reports the worker with this id.
+    pub fn is_reported_by(&self, source: SourceId, id: &str) -> bool {
+        self.sources[source.0].records.contains(id)
+    }
+
     /// The report on a worker by the first source that has one.
     pub fn report(&self, id: &str) -> Option<&SourceReport> {
         let mut records = self.records(worker_id(id));
--- a/crates/node/src/discovery/list_update.rs
+++ b/crates/node/src/discovery/list_update.rs
@@ -40,14 +40,25 @@
         let text = std::str::from_utf8(text)?;
         // Strings with escapes cannot be borrowed from the text, so they need an owned entry.
         if let Ok(entry) = serde_json::from_str::<EndpointEntry<&str>>(text) {
-            self.apply_entry(&entry, Some(digest));
+            self.apply_within_bound(&entry, digest)
         } else {
             let entry: EndpointEntry = serde_json::from_str(text)?;
-            self.apply_entry(&entry, Some(digest));
+            self.apply_within_bound(&entry, digest)
         }
-        if self.members.worker_count(self.source) > MAX_WORKERS {
+    }
+
+    /// Applies an entry unless it names one worker too many.
+    fn apply_within_bound<Text: AsRef<str>>(
+        &mut self,
+        entry: &EndpointEntry<Text>,
+        digest: EntryDigest,
+    ) -> Result<(), ListError> {
+        let is_known = self.members.is_reported_by(self.source, entry.id.as_ref());
+        let adds_worker = !is_known && !entry.is_removed();
+        if adds_worker && self.members.worker_count(self.source) >= MAX_WORKERS {
             return Err(ListError::TooManyWorkers(MAX_WORKERS));
         }
+        self.apply_entry(entry, Some(digest));
         Ok(())
     }
 
--- a/crates/node/tests/large_lists.rs
+++ b/crates/node/tests/large_lists.rs
@@ -2,13 +2,15 @@
 //! the previous list may be used for the drain's grace period and no longer. No result depends on the speed of the
 //! machine.
 
+use marbledeck_node::discovery::MAX_WORKERS;
 use marbledeck_test_support::{
     AnswerForm, Delivery, DiscoveryStub, EnvironmentOptions, JobClient, ListedEndpoint,
     TestEnvironment,
 };
 use rstest::rstest;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 /// The number of workers of the largest fleet.
 const WORKERS: usize = 3200;
@@ -17,6 +19,10 @@
 const PARTIAL_ANSWER_BYTES: usize = 2000;
 /// Part of the log line that says that workers which an incomplete answer has not listed get no new requests.
 const PAUSED_LOG: &str = "not complete in time";
+/// Part of the log line of a list that is refused for the number of its workers.
+const TOO_MANY_LOG: &str = "more than 8192 workers";
+/// Much longer than any wait takes, so only a failure reaches it.
+const TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The workers of a large fleet, all of them draining, at addresses where nothing listens.
 fn draining_fleet() -> Vec<(String, SocketAddr)> {
@@ -201,3 +207,33 @@
     assert_eq!(environment.members().len(), 3 + WORKERS);
     assert_eq!(run_job(&environment, "job-1"), JobEnd::Served);
 }
+
+/// Guards against a list with too many workers that enters one more of them with each call.
+#[test]
+fn a_list_with_too_many_workers_never_exceeds_the_bound() {
+    const FAILED_CALLS: usize = 3;
+    let environment = start_with_two_workers();
+    let ids: Vec<String> = (0..MAX_WORKERS + FAILED_CALLS)
+        .map(|number| format!("z-{number:05}"))
+        .collect();
+    let address = "127.99.0.1:9".parse().expect("an address");
+    let entries = ids.iter().map(|id| ListedEndpoint {
+        id,
+        address,
+        phase: "draining",
+    });
+    environment
+        .discovery
+        .set_workers(&entries.collect::<Vec<_>>());
+    let failures = || {
+        let lines = environment.log_lines();
+        let failed = lines.iter().filter(|line| line.contains(TOO_MANY_LOG));
+        failed.count()
+    };
+    let deadline = Instant::now() + TIMEOUT;
+    while failures() < FAILED_CALLS {
+        assert!(Instant::now() < deadline, "the list is not refused");
+        sleep(Duration::from_millis(5));
+    }
+    assert_eq!(environment.members().len(), MAX_WORKERS);
+}
