Refuse a year with a character across its middle instead of panicking

Cause: resolve_year cut a text of four bytes after two of them.

Evidence: the case in the unit test panicked on the old code: "end byte index 2 is not a char boundary".

Change: split_at_checked; such a text is an invalid time. The test passes.

--- a/crates/drmaa/src/times.rs
+++ b/crates/drmaa/src/times.rs
@@ -137,7 +137,8 @@
     match text.len() {
         2 => Some(this_year / 100 * 100 + parse_two_digits(text)? as i32),
         4 => {
-            Some(parse_two_digits(&text[..2])? as i32 * 100 + parse_two_digits(&text[2..])? as i32)
+            let (century, year) = text.split_at_checked(2)?;
+            Some(parse_two_digits(century)? as i32 * 100 + parse_two_digits(year)? as i32)
         }
         _ => None,
     }
--- a/crates/drmaa/src/times/tests.rs
+++ b/crates/drmaa/src/times/tests.rs
@@ -29,6 +29,8 @@
         "1:30",
         "2027/13/01 10:00",
         "é/01 10:00",
+        // Four bytes, and a character across the middle of them.
+        "1é2/01/05 10:00",
         "x y z 10:00",
     ] {
         assert_eq!(resolve(invalid), None, "{invalid}");
