Confine a stray byte on an idle connection to the worker that sent it

What callers saw: one worker that sends a byte on a resting connection made the node close all its idle connections and keep none to any worker for 30 s: each job of every caller then paid for a new connection.

Cause: Workers::handle_ready took every event on an idle connection for a sign that idle connections may be dead without an event. A byte says that this worker is faulty, and nothing about the others.

Evidence: exchange stray_byte (two workers, one idle connection each, a byte on one): on the old code the next job at the other worker did not come on its idle connection. How often workers do this in service was not counted.

Change: input on an idle connection closes and pauses those of its worker only; an early close still pauses all, since the others may be dead unseen. The pause of a worker is forgotten when it is gone, moved or restarted, which bounds it.

--- a/crates/node/src/workers/events.rs
+++ b/crates/node/src/workers/events.rs
@@ -23,11 +23,17 @@
             return net.close(token);
         };
         if connection.purpose == Purpose::Idle {
-            // The worker closed the connection before its idle timeout, or sent data without a request. The other
-            // idle connections may be dead, too, without an event that shows it.
+            let (worker, has_input) = (connection.worker, !conn.input.is_empty());
             self.pool.remove(token, net);
+            if has_input {
+                // Data without a request shows a faulty worker and says nothing about the others.
+                return self.pool.pause_reuse_of(now, worker, net);
+            }
+            // The worker closed the connection before its idle timeout. The other idle connections may be dead, too,
+            // without an event that shows it.
             return self.pool.pause_reuse(now, net);
         }
+        let worker = connection.worker;
         connection.record_written(conn, core);
         connection.reused_without_response &= conn.input.is_empty();
         let failure = connection::failure(conn);
@@ -44,7 +50,7 @@
             self.pool.pause_reuse(now, net);
         }
         self.handle_progress(now, token, progress, core);
-        if !self.pool.may_reuse(now) && self.is_idle(token) {
+        if !self.pool.may_reuse(now, worker) && self.is_idle(token) {
             self.pool.remove(token, net);
         }
         let Some(outcome) = failure else {
--- a/crates/node/src/workers/mod.rs
+++ b/crates/node/src/workers/mod.rs
@@ -392,6 +392,6 @@
     /// Drops the load report and the idle connections of a worker that is gone, has moved or was restarted.
     pub fn forget_worker(&mut self, worker: WorkerId, net: &mut Net) {
         self.load_reports.remove(&worker);
-        self.pool.close_idle(worker, net);
+        self.pool.forget_worker(worker, net);
     }
 }
--- a/crates/node/src/workers/pool.rs
+++ b/crates/node/src/workers/pool.rs
@@ -8,7 +8,7 @@
 use marbledeck_membership::Endpoint;
 use std::collections::{BTreeSet, HashMap};
 
-/// How long no connection is reused after an idle one was found dead. An attempt on a dead connection may have run as
+/// How long no connection is reused after an idle one was found dead or had stray input. An attempt on a dead connection may have run as
 /// far as the node knows: it costs a retry, may eject its worker and binds a keyed request to that worker. A new
 /// connection costs only a millisecond or two.
 const REUSE_PAUSE: Micros = millis(30_000);
@@ -24,6 +24,8 @@
     deadlines: BTreeSet<(Micros, Token)>,
     /// No connection is kept for reuse before this time.
     reuse_after: Micros,
+    /// Workers to which no connection is kept for reuse before this time.
+    worker_reuse_after: HashMap<WorkerId, Micros>,
 }
 
 impl Pool {
@@ -36,6 +38,7 @@
             idle: HashMap::new(),
             deadlines: BTreeSet::new(),
             reuse_after: Micros(0),
+            worker_reuse_after: HashMap::new(),
         }
     }
 
@@ -148,14 +151,28 @@
         }
     }
 
-    /// Whether connections may be kept for reuse.
-    pub fn may_reuse(&self, now: Micros) -> bool {
-        now >= self.reuse_after
+    /// Whether connections to this worker may be kept for reuse.
+    pub fn may_reuse(&self, now: Micros, worker: WorkerId) -> bool {
+        let worker_reuse_after = self.worker_reuse_after.get(&worker);
+        now >= self.reuse_after && worker_reuse_after.is_none_or(|after| now >= *after)
+    }
+
+    /// Closes the idle connections to a worker and keeps none for reuse during `REUSE_PAUSE`.
+    pub fn pause_reuse_of(&mut self, now: Micros, worker: WorkerId, net: &mut Net) {
+        if self.may_reuse(now, worker) {
+            log::info!(
+                target: LOG_TARGET,
+                "worker {:016x} sent data without a request; closing its idle connections and pausing their reuse",
+                worker.0
+            );
+        }
+        self.worker_reuse_after.insert(worker, now + REUSE_PAUSE);
+        self.close_idle(worker, net);
     }
 
     /// Closes all idle connections and keeps none for reuse during `REUSE_PAUSE`.
     pub fn pause_reuse(&mut self, now: Micros, net: &mut Net) {
-        if self.may_reuse(now) {
+        if now >= self.reuse_after {
             log::info!(
                 target: LOG_TARGET,
                 "an idle or reused worker connection was dead; closing all idle ones and pausing connection reuse"
@@ -167,8 +184,14 @@
         }
     }
 
+    /// Closes the idle connections of a worker that is gone, has moved or was restarted, and forgets that it was faulty.
+    pub fn forget_worker(&mut self, worker: WorkerId, net: &mut Net) {
+        self.worker_reuse_after.remove(&worker);
+        self.close_idle(worker, net);
+    }
+
     /// Closes the idle connections of a worker.
-    pub fn close_idle(&mut self, worker: WorkerId, net: &mut Net) {
+    fn close_idle(&mut self, worker: WorkerId, net: &mut Net) {
         for token in self.idle.remove(&worker).unwrap_or_default() {
             self.remove(token, net);
         }
