--- a/crates/test-support/src/soak/audit.rs
+++ b/crates/test-support/src/soak/audit.rs
@@ -60,6 +60,8 @@
     /// When its last piece was sent.
     pub(super) began: Instant,
     pub(super) connection: JobConnection,
+    /// When its client last began to look whether the connection is open, before it sent the request.
+    pub(super) seen_open_at: Instant,
     /// Whether the connection had stood open for long, so that the node may have closed it as an idle one.
     pub(super) has_rested: bool,
 }
@@ -160,7 +162,13 @@
         end: &ReceiveError,
     ) {
         let began = unanswered.began;
-        if self.has_crashed_since(began) {
+        let is_new = !unanswered.connection.was_used();
+        let open_since = if is_new {
+            unanswered.seen_open_at
+        } else {
+            began
+        };
+        if self.has_crashed_since(open_since) {
             return self.count(Outcome::LostToCrash);
         }
         let UnansweredRequest {
@@ -184,14 +192,14 @@
         }
     }
 
-    /// Judges a request that could not be written to its end.
+    /// Judges a request that could not be written to its end on a connection that was seen open.
     pub(super) fn judge_unsent(
         &self,
         request: &JobRequest,
-        began: Instant,
+        seen_open_at: Instant,
         connection: &JobConnection,
     ) {
-        if self.has_crashed_since(began) {
+        if self.has_crashed_since(seen_open_at) {
             return self.count(Outcome::LostToCrash);
         }
         match self.allowed_close(connection) {
--- a/crates/test-support/src/soak/client.rs
+++ b/crates/test-support/src/soak/client.rs
@@ -25,7 +25,7 @@
     OneShot,
     /// Opens a connection for each request, and sends it up to 2.4 s later.
     Resting,
-    /// As [`ClientKind::Busy`], but sends each request in two pieces, up to 1.2 s apart.
+    /// As [`ClientKind::Busy`], but sends each request in two pieces, up to 2.3 s apart.
     Slow,
 }
 
@@ -57,6 +57,12 @@
     pub audit: Arc<Audit>,
 }
 
+/// A connection, and when the client last began to look whether it is open.
+struct SeenConnection {
+    connection: JobConnection,
+    seen_open_at: Instant,
+}
+
 impl SoakClient {
     /// Sends jobs until the run is over.
     pub fn run(mut self) {
@@ -86,7 +92,7 @@
     }
 
     /// Opens a connection if the platform would.
-    fn connect(&mut self) -> Option<JobConnection> {
+    fn connect(&mut self) -> Option<SeenConnection> {
         if !self.audit.node.accepts_connections.load(Ordering::SeqCst) {
             return None;
         }
@@ -105,14 +111,18 @@
         &mut self,
         opened_at: Instant,
         mut connection: JobConnection,
-    ) -> Option<JobConnection> {
+    ) -> Option<SeenConnection> {
         match self.kind {
             ClientKind::OneShot => sleep(self.random.millis(0..400)),
             ClientKind::Resting => sleep(self.random.millis(500..2400)),
             _ => {}
         }
+        let seen_open_at = Instant::now();
         if self.is_quiet(&mut connection) {
-            return Some(connection);
+            return Some(SeenConnection {
+                connection,
+                seen_open_at,
+            });
         }
         if self.kind != ClientKind::Resting {
             self.audit.judge_closed_unused(opened_at);
@@ -121,7 +131,11 @@
     }
 
     /// Sends one job and judges its end. Returns the connection if it can be used again.
-    fn run_job(&mut self, mut connection: JobConnection, job: usize) -> Option<JobConnection> {
+    fn run_job(&mut self, seen: SeenConnection, job: usize) -> Option<SeenConnection> {
+        let SeenConnection {
+            mut connection,
+            mut seen_open_at,
+        } = seen;
         let looks_before = self.kind == ClientKind::Careful;
         if connection.was_used() && looks_before && !self.is_quiet(&mut connection) {
             return None;
@@ -131,21 +145,26 @@
             class: job_class(job),
             time_left: self.random.millis(300..2500),
         };
-        let began = self.send(&request, &mut connection)?;
+        let began = self.send(&request, &mut connection, seen_open_at)?;
         let deadline = began + request.time_left + PATIENCE;
         match connection.receive(deadline) {
             Ok(answer) => {
                 self.audit.judge_answer(&request, began, &answer);
+                seen_open_at = Instant::now();
                 let is_quiet = self.is_quiet(&mut connection);
-                (is_quiet && !answer.closes).then_some(connection)
+                let seen = SeenConnection {
+                    connection,
+                    seen_open_at,
+                };
+                (is_quiet && !answer.closes).then_some(seen)
             }
             Err(end) => {
-                let has_rested = self.kind == ClientKind::Resting;
                 let unanswered = UnansweredRequest {
                     request,
                     began,
                     connection,
-                    has_rested,
+                    seen_open_at,
+                    has_rested: self.kind == ClientKind::Resting,
                 };
                 self.audit.judge_unanswered(unanswered, &end);
                 None
@@ -154,31 +173,47 @@
     }
 
     /// Sends a request and returns when its last piece began, or none if the connection ended before.
-    fn send(&mut self, request: &JobRequest, connection: &mut JobConnection) -> Option<Instant> {
+    fn send(
+        &mut self,
+        request: &JobRequest,
+        connection: &mut JobConnection,
+        seen_open_at: Instant,
+    ) -> Option<Instant> {
         let mut bytes = request.encode();
         let mut began = Instant::now();
         if self.kind == ClientKind::Slow {
             let rest = bytes.split_off(bytes.len() / 2);
             connection.send_bytes(&bytes).ok()?;
-            sleep(self.random.millis(1..1200));
-            // The node may close a connection on which a request is not complete.
-            if !self.is_open(connection) {
+            sleep(self.random.millis(1..2300));
+            // The node may end a connection on which a request is not complete.
+            let (early, is_closed) = connection.check_rest();
+            if early > 0 {
+                self.judge_early_answer(request, connection);
+            }
+            if early > 0 || is_closed {
                 return None;
             }
             bytes = rest;
             began = Instant::now();
         }
         if connection.send_bytes(&bytes).is_err() {
-            self.audit.judge_unsent(request, began, connection);
+            self.audit.judge_unsent(request, seen_open_at, connection);
             return None;
         }
         Some(began)
     }
 
-    /// Whether nothing has come in the middle of a request, neither the end of the connection nor an answer.
-    fn is_open(&self, connection: &mut JobConnection) -> bool {
-        let (bytes, is_closed) = connection.check_rest();
-        bytes == 0 && !is_closed
+    /// Judges an answer that comes before its request is complete.
+    fn judge_early_answer(&self, request: &JobRequest, connection: &mut JobConnection) {
+        let began = Instant::now();
+        match connection.receive(began + PATIENCE) {
+            Ok(answer) => self.audit.judge_answer(request, began, &answer),
+            Err(end) => {
+                let txn = &request.txn;
+                self.audit
+                    .fault(format!("lost: an early answer to {txn} was cut: {end}"));
+            }
+        }
     }
 
     /// Whether the connection is open and nothing has come without a request. A second answer is a fault.
