--- a/crates/eureka/src/lib.rs
+++ b/crates/eureka/src/lib.rs
@@ -12,6 +12,7 @@
 mod error;
 mod instance;
 mod instance_json;
+mod instance_table;
 mod instance_xml;
 mod lease;
 mod poll;
--- a/crates/eureka/src/poll.rs
+++ b/crates/eureka/src/poll.rs
@@ -2,11 +2,12 @@
 //! full lists and deltas into changes of the membership.
 
 use crate::error::ResponseError;
-use crate::instance::{DeltaAction, Instance, InstanceStatus, MetadataKeys};
+use crate::instance::{DeltaAction, Instance, MetadataKeys};
+use crate::instance_table::{DeltaEntry, InstanceKey, InstanceTable, KnownInstance};
 use crate::response::{Encoding, ResponseFormat, ResponseItem, ResponseReader};
 use marbledeck_dispatcher::Micros;
-use marbledeck_membership::{SourceReport, Status};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use marbledeck_membership::SourceReport;
+use std::collections::{HashMap, VecDeque};
 
 /// The settings of a poll.
 #[derive(Clone, Debug)]
@@ -102,32 +103,12 @@
     delta: VecDeque<DeltaEntry>,
 }
 
-/// An instance of a delta.
-struct DeltaEntry {
-    key: InstanceKey,
-    status: InstanceStatus,
-    /// None if the instance is not a worker.
-    report: Option<SourceReport>,
-    is_deleted: bool,
-}
-
 /// A complete delta, and the registry's hash code after it.
 struct PendingDelta {
     entries: VecDeque<DeltaEntry>,
     hash_code: Option<String>,
 }
 
-/// The application and the id of an instance.
-type InstanceKey = (String, String);
-
-/// An instance in the registry.
-#[derive(Clone, Debug, PartialEq)]
-struct KnownInstance {
-    status: InstanceStatus,
-    /// The worker's id; none if the instance is not a worker.
-    worker: Option<String>,
-}
-
 /// Polls a registry.
 pub struct Poll {
     settings: PollSettings,
@@ -144,9 +125,7 @@
     needs_full_fetch: bool,
     /// The time of the last request for the full list.
     last_full_fetch_at: Option<Micros>,
-    instances: HashMap<InstanceKey, KnownInstance>,
-    /// The number of instances in each status, to compute the hash code.
-    status_counts: BTreeMap<&'static str, usize>,
+    instances: InstanceTable,
     /// The complete delta that is being applied.
     applying: Option<PendingDelta>,
     changes: Vec<Change>,
@@ -170,8 +149,7 @@
             failures: 0,
             needs_full_fetch: true,
             last_full_fetch_at: None,
-            instances: HashMap::new(),
-            status_counts: BTreeMap::new(),
+            instances: InstanceTable::default(),
             applying: None,
             changes: Vec::new(),
             mismatches: 0,
@@ -360,20 +338,13 @@
         let announced = open.hash_code;
         match open.request.kind {
             FetchKind::Full => {
-                self.instances = open.instances;
-                self.status_counts.clear();
-                for known in self.instances.values() {
-                    *self
-                        .status_counts
-                        .entry(known.status.wire_name())
-                        .or_default() += 1;
-                }
+                self.instances = InstanceTable::new(open.instances);
                 self.changes.push(Change::ListPart(open.part));
                 self.changes.push(Change::ListEnd);
                 self.needs_full_fetch = false;
                 // A full list that does not match its own hash code is still used. The check after the next delta
                 // decides whether to fetch it again.
-                if announced.is_none_or(|announced| announced == self.hash_code()) {
+                if announced.is_none_or(|announced| announced == self.instances.hash_code()) {
                     self.mismatches = 0;
                 } else {
                     self.last_failure = Some(HASH_MISMATCH.to_owned());
@@ -396,7 +367,7 @@
         };
         for _ in 0..MAX_ENTRIES_PER_TURN {
             match delta.entries.pop_front() {
-                Some(entry) => self.apply_entry(entry),
+                Some(entry) => self.instances.apply(entry, &mut self.changes),
                 None => break,
             }
         }
@@ -405,7 +376,7 @@
             return;
         }
         let announced = delta.hash_code;
-        if announced.is_some_and(|announced| announced != self.hash_code()) {
+        if announced.is_some_and(|announced| announced != self.instances.hash_code()) {
             self.mismatches += 1;
             self.needs_full_fetch = true;
             self.last_failure = Some(HASH_MISMATCH.to_owned());
@@ -418,61 +389,6 @@
         }
     }
 
-    fn apply_entry(&mut self, entry: DeltaEntry) {
-        if entry.is_deleted {
-            if let Some(old) = self.instances.remove(&entry.key) {
-                self.decrement_count(old.status);
-            }
-            if let Some(report) = entry.report {
-                // An instance that leaves on purpose sets its status first. One whose lease has expired is still `UP`.
-                let explicit = report.status != Status::Up;
-                self.changes.push(Change::Removed {
-                    id: report.id,
-                    explicit,
-                });
-            }
-            return;
-        }
-        let known = KnownInstance {
-            status: entry.status,
-            worker: entry.report.as_ref().map(|report| report.id.clone()),
-        };
-        *self
-            .status_counts
-            .entry(entry.status.wire_name())
-            .or_default() += 1;
-        let old = self.instances.insert(entry.key, known);
-        if let Some(old) = &old {
-            self.decrement_count(old.status);
-        }
-        // The worker id may have changed along with the metadata.
-        let old_worker = old.and_then(|old| old.worker);
-        let is_same = |id: &String| entry.report.as_ref().is_some_and(|report| report.id == *id);
-        if let Some(id) = old_worker.filter(|id| !is_same(id)) {
-            self.changes.push(Change::Removed { id, explicit: true });
-        }
-        let reported = entry
-            .report
-            .map(|report| Change::Reported(Box::new(report)));
-        self.changes.extend(reported);
-    }
-
-    fn decrement_count(&mut self, status: InstanceStatus) {
-        if let Some(count) = self.status_counts.get_mut(status.wire_name()) {
-            *count -= 1;
-            if *count == 0 {
-                self.status_counts.remove(status.wire_name());
-            }
-        }
-    }
-
-    fn hash_code(&self) -> String {
-        let counts = self.status_counts.iter();
-        counts
-            .map(|(status, count)| format!("{status}_{count}_"))
-            .collect()
-    }
-
     /// Handles the failure of a request: switches to the next registry, and backs off once all have failed.
     pub fn handle_failure(&mut self, now: Micros, number: u64, reason: &str) {
         if !self.is_open(number) {
