Split the discovery stub: its state and its answers have a file each

Cause: the record of what is told made discovery.rs 648 lines long. Change: discovery_answer.rs (entries, answers, encoding), discovery_state.rs (state and what it tells); discovery.rs has 415 lines. No behaviour.

--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -2,9 +2,11 @@
 //! sets the encoding of its answers and how their bytes are delivered.
 
 use crate::accept::{listen, serve_connections};
+use crate::discovery_answer::{encode, member, Answer, AnswerForm, EncodedAnswer, ListedWorker};
+use crate::discovery_state::{NodeConnection, State};
 use crate::http;
-use crate::notices::{AnswerId, ProcessRecord, ReportsAround, WorkerReport};
-use serde_json::{json, Value};
+use crate::notices::{ProcessRecord, ReportsAround};
+use serde_json::Value;
 use std::collections::{HashMap, HashSet};
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -13,24 +15,9 @@
 
 /// Upper bound on `wait_ms`, the time that a long poll waits for a change.
 const MAX_WAIT_MS: u64 = 60_000;
-/// Size of a chunk in answers with chunked transfer coding.
-const CHUNK_BYTES: usize = 4000;
-
 /// Time limit of every wait of a test. It is far longer than a wait takes unless the test fails.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
-/// The encoding of an answer's body.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum AnswerForm {
-    /// JSON without white space, with `Content-Length`.
-    #[default]
-    Compact,
-    /// Indented JSON, with `Content-Length`.
-    Indented,
-    /// JSON without white space, with chunked transfer coding.
-    Chunked,
-}
-
 /// How the bytes of an answer are delivered.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Delivery {
@@ -61,54 +48,6 @@
     pub phase: &'a str,
 }
 
-/// An entry of the list. Entries in phase `removed` are kept so that changes can report them.
-struct ListedWorker {
-    /// The revision of the list at which this entry was last changed.
-    revision: u64,
-    /// The entry as it is sent.
-    member: Value,
-}
-
-impl ListedWorker {
-    fn id(&self) -> &str {
-        self.member["id"].as_str().unwrap_or_default()
-    }
-
-    fn is_up(&self) -> bool {
-        self.member["phase"] == "up"
-    }
-
-    fn cell(&self) -> u64 {
-        self.member["cell"].as_u64().unwrap_or_default()
-    }
-}
-
-#[derive(Default)]
-struct State {
-    revision: u64,
-    workers: Vec<ListedWorker>,
-    form: AnswerForm,
-    delivery: Delivery,
-    /// Whether changes are answered with the whole list.
-    sends_whole_lists: bool,
-    /// Number of calls of [`DiscoveryStub::resume`].
-    resume_count: u64,
-    is_down: bool,
-    /// Number of answers whose transmission has started.
-    answers: usize,
-    /// Whether lists are pushed. A change then counts as reported when it is made, or when an outage ends, instead of
-    /// when an answer reports it.
-    pushes_lists: bool,
-    /// Whether answers are held between their composition and their first byte.
-    holds_answers: bool,
-    /// Number of answers that are held.
-    held_answers: usize,
-    /// Number of connections accepted so far.
-    connections: u64,
-    /// What each process of the node was told, in the order of their start.
-    processes: Vec<ProcessRecord>,
-}
-
 /// A stub of discovery, which serves until the program exits.
 #[derive(Clone)]
 pub struct DiscoveryStub {
@@ -117,42 +56,6 @@
     state: Arc<(Mutex<State>, Condvar)>,
 }
 
-/// An answer before its encoding.
-struct Answer {
-    body: Value,
-    /// The revision of its list.
-    revision: u64,
-    /// What it tells, first about the entries of its body in their order, then about the workers that it leaves out.
-    told: Vec<ToldEntry>,
-}
-
-/// What an answer tells about one worker.
-struct ToldEntry {
-    id: String,
-    /// The revision of the list in which the entry last changed.
-    revision: u64,
-    is_up: bool,
-}
-
-impl From<&ListedWorker> for ToldEntry {
-    fn from(worker: &ListedWorker) -> Self {
-        ToldEntry {
-            id: worker.id().to_owned(),
-            revision: worker.revision,
-            is_up: worker.is_up(),
-        }
-    }
-}
-
-/// A connection from a process of the node.
-struct NodeConnection {
-    stream: TcpStream,
-    /// The index of the process in the order of their start.
-    process: usize,
-    /// The number of the connection, from 1.
-    number: u64,
-}
-
 impl DiscoveryStub {
     /// Starts a stub with an empty list on a free port.
     ///
@@ -510,139 +413,3 @@
         self.connection.stream.write_all(bytes).ok()
     }
 }
-
-impl State {
-    /// The record of the process that was the newest one at this moment.
-    fn process_at(&self, moment: Instant) -> Option<&ProcessRecord> {
-        let mut newest_first = self.processes.iter().rev();
-        newest_first.find(|process| process.began_at <= moment)
-    }
-
-    /// If lists are pushed and there is no outage, records that all processes were told the current list.
-    fn tell_pushed_lists(&mut self) {
-        if !self.pushes_lists || self.is_down {
-            return;
-        }
-        let at = Instant::now();
-        for worker in &self.workers {
-            for process in &mut self.processes {
-                let report = WorkerReport {
-                    at,
-                    entry_revision: worker.revision,
-                    is_up: worker.is_up(),
-                    answer: None,
-                };
-                process.add(worker.id(), report);
-            }
-        }
-    }
-
-    /// Records what an answer is about to tell about workers that are not up: that counts from its first byte on.
-    fn tell_not_up(&mut self, connection: &NodeConnection, answer: &Answer) {
-        let not_up = answer.told.iter().filter(|entry| !entry.is_up);
-        self.tell(connection, answer, not_up);
-    }
-
-    /// Records that an answer tells these entries now. Does nothing if lists are pushed.
-    fn tell<'a>(
-        &mut self,
-        connection: &NodeConnection,
-        answer: &Answer,
-        entries: impl Iterator<Item = &'a ToldEntry>,
-    ) {
-        if self.pushes_lists {
-            return;
-        }
-        let at = Instant::now();
-        let process = &mut self.processes[connection.process];
-        for entry in entries {
-            let report = WorkerReport {
-                at,
-                entry_revision: entry.revision,
-                is_up: entry.is_up,
-                answer: Some(AnswerId {
-                    revision: answer.revision,
-                    connection: connection.number,
-                }),
-            };
-            process.add(&entry.id, report);
-        }
-    }
-
-    fn whole_list(&self) -> Answer {
-        // A removed worker is missing in a whole list, which also reports that it is not up.
-        let is_present = |worker: &&ListedWorker| worker.member["phase"] != "removed";
-        let present = self.workers.iter().filter(is_present);
-        let missing = self.workers.iter().filter(|worker| !is_present(worker));
-        self.answer(true, present, missing)
-    }
-
-    fn changes_after(&self, after: u64) -> Answer {
-        let newer = |worker: &&ListedWorker| worker.revision > after;
-        let changed = self.workers.iter().filter(newer);
-        self.answer(false, changed, std::iter::empty())
-    }
-
-    /// An answer with these entries. `complete` marks a whole list, and `missing` are the workers that it reports as
-    /// removed by leaving them out.
-    fn answer<'a>(
-        &self,
-        complete: bool,
-        listed: impl Iterator<Item = &'a ListedWorker> + Clone,
-        missing: impl Iterator<Item = &'a ListedWorker>,
-    ) -> Answer {
-        let members: Vec<&Value> = listed.clone().map(|worker| &worker.member).collect();
-        Answer {
-            body: json!({"revision": self.revision, "complete": complete, "members": members}),
-            revision: self.revision,
-            told: listed.chain(missing).map(ToldEntry::from).collect(),
-        }
-    }
-}
-
-/// The JSON form of an entry.
-fn member(id: &str, address: SocketAddr, phase: &str, cell: u64) -> Value {
-    json!({"id": id, "host_port": address.to_string(), "locality": "east", "flavor": "std",
-        "cell": cell, "phase": phase, "size": 1.0, "up_since_ms": 0})
-}
-
-/// The bytes of an answer.
-struct EncodedAnswer {
-    bytes: Vec<u8>,
-    /// For each entry: the offset after its last byte.
-    entry_ends: Vec<usize>,
-}
-
-/// Encodes the head and the body of an answer.
-fn encode(form: AnswerForm, body: &Value) -> EncodedAnswer {
-    let text = match form {
-        AnswerForm::Indented => serde_json::to_string_pretty(body).unwrap_or_default(),
-        AnswerForm::Compact | AnswerForm::Chunked => body.to_string(),
-    };
-    let count = body["members"].as_array().map_or(0, Vec::len);
-    // Entries hold no braces, so the first closing ones are theirs.
-    let braces = text.match_indices('}').take(count);
-    let ends_in_text = braces.map(|(offset, brace)| offset + brace.len());
-    if form != AnswerForm::Chunked {
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
-        return EncodedAnswer {
-            entry_ends: ends_in_text.map(|end| head.len() + end).collect(),
-            bytes: (head + &text).into_bytes(),
-        };
-    }
-    let mut bytes = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
-    let mut ends_in_text = ends_in_text.peekable();
-    let mut entry_ends = Vec::new();
-    for (number, chunk) in text.as_bytes().chunks(CHUNK_BYTES).enumerate() {
-        bytes.extend(format!("{:x}\r\n", chunk.len()).bytes());
-        let chunk_start = number * CHUNK_BYTES;
-        let chunk_end = chunk_start + chunk.len();
-        while let Some(end) = ends_in_text.next_if(|end| *end <= chunk_end) {
-            entry_ends.push(bytes.len() + end - chunk_start);
-        }
-        bytes.extend_from_slice(chunk);
-        bytes.extend(b"\r\n");
-    }
-    bytes.extend(b"0\r\n\r\n");
-    EncodedAnswer { bytes, entry_ends }
-}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -8,6 +8,8 @@
 mod client;
 mod cluster;
 mod discovery;
+mod discovery_answer;
+mod discovery_state;
 mod environment;
 mod eureka;
 mod http;
@@ -22,7 +24,8 @@
 
 pub use client::JobClient;
 pub use cluster::{Cluster, ClusterNode, ClusterOptions};
-pub use discovery::{AnswerForm, Delivery, DiscoveryStub, ListedEndpoint};
+pub use discovery::{Delivery, DiscoveryStub, ListedEndpoint};
+pub use discovery_answer::AnswerForm;
 pub use environment::{binary, EnvironmentOptions, LaunchedSuccessor, TestEnvironment};
 pub use eureka::{EurekaBehaviour, EurekaStub};
 pub use lossy_proxy::LossyProxy;
