Take an interrupted read in the exchanges' player for no end of the connection

Cause: Connection::read took every error but a time-out for the end of the connection. A read with a time-out is not restarted after a signal: a scratch copy that prints the error showed "Interrupted system call" before each failure, and no close by the node.

Change: Interrupted is no end. A step that waits for a close is stricter now: it had passed on an interrupted read, too.

--- a/crates/node/tests/common/sockets.rs
+++ b/crates/node/tests/common/sockets.rs
@@ -25,7 +25,11 @@
                 self.received.extend_from_slice(&bytes[..n]);
                 false
             }
-            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+            // A read with a timeout is not restarted after a signal, which says nothing about the peer.
+            Err(e) => !matches!(
+                e.kind(),
+                ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+            ),
         }
     }
 }
