--- a/crates/node/src/net/closing.rs
+++ b/crates/node/src/net/closing.rs
@@ -97,7 +97,7 @@
     }
 
     /// Immediately closes the one of these connections that has been closing longest and has no output left, to free
-    /// its descriptor. Returns whether there was one; only the first [`MAX_CLOSE_ATTEMPTS`] are tried.
+    /// its descriptor. Returns whether there was one; only the first few are tried.
     pub fn close_oldest_lingering(&mut self, peer: Peer) -> bool {
         let candidates: Vec<Token> = self.lingering_of(peer).take(MAX_CLOSE_ATTEMPTS).collect();
         let can_end = |token: &Token| {
