Go on with a takeover that a signal interrupts

What was seen: by reading, after an interrupted read in a test: a successor that gets SIGHUP while it receives the state starts alone, without sockets and state.

Cause: receive and reads of the handover have a timeout, so the system does not restart them after a signal, and EINTR counted as an error.

Evidence: the new test plays the old process and sends SIGHUP whenever the new one sleeps in the receive: on the old code its link was closed (broken pipe).

--- a/crates/node/src/handover/connect.rs
+++ b/crates/node/src/handover/connect.rs
@@ -4,6 +4,7 @@
 use super::{HEAD_LENGTH, MAX_STATE_LENGTH};
 use crate::net::MAX_PASSED_LISTENERS;
 use rustix::fd::OwnedFd;
+use rustix::io::Errno;
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
 use serde::de::DeserializeOwned;
 use std::io::{self, IoSliceMut, Read};
@@ -48,9 +49,9 @@
     // Reads exactly the head and the state. The bytes after them are messages for the event loop.
     let mut head = [0; HEAD_LENGTH];
     set_read_deadline(&stream, deadline)?;
-    let listeners = receive_head(&stream, &mut head)?;
+    let listeners = receive_head(&stream, &mut head, deadline)?;
     let length = parse_length(&head).ok_or(io::ErrorKind::InvalidData)?;
-    let body = read_body(&stream, length, deadline)?;
+    let body = read_exactly(&stream, length, deadline)?;
     let state = serde_json::from_slice(&body)?;
     stream.set_nonblocking(true)?;
     Ok(PredecessorLink {
@@ -67,15 +68,17 @@
     (length <= MAX_STATE_LENGTH).then_some(length)
 }
 
-fn read_body(mut stream: &UnixStream, length: usize, deadline: Instant) -> io::Result<Vec<u8>> {
+fn read_exactly(mut stream: &UnixStream, length: usize, deadline: Instant) -> io::Result<Vec<u8>> {
     let mut body = vec![0; length];
     let mut read = 0;
     while read < body.len() {
         set_read_deadline(stream, deadline)?;
-        read += match stream.read(&mut body[read..])? {
-            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-            length => length,
-        };
+        match stream.read(&mut body[read..]) {
+            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(length) => read += length,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
     }
     Ok(body)
 }
@@ -87,20 +90,33 @@
 }
 
 /// Reads the head and the file descriptors that are sent with it.
-fn receive_head(stream: &UnixStream, head: &mut [u8; HEAD_LENGTH]) -> io::Result<Vec<OwnedFd>> {
+fn receive_head(
+    stream: &UnixStream,
+    head: &mut [u8; HEAD_LENGTH],
+    deadline: Instant,
+) -> io::Result<Vec<OwnedFd>> {
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_PASSED_LISTENERS))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
-    let mut parts = [IoSliceMut::new(head)];
     let flags = RecvFlags::CMSG_CLOEXEC | RecvFlags::WAITALL;
-    let received = rustix::net::recvmsg(stream, &mut parts, &mut control, flags)?;
+    // A receive with a timeout is not restarted after a signal.
+    let received = loop {
+        let mut parts = [IoSliceMut::new(head)];
+        match rustix::net::recvmsg(stream, &mut parts, &mut control, flags) {
+            Err(Errno::INTR) => {}
+            received => break received?,
+        }
+    };
     let mut listeners = Vec::new();
     for message in control.drain() {
         if let RecvAncillaryMessage::ScmRights(passed) = message {
             listeners.extend(passed);
         }
     }
-    match received.bytes {
-        HEAD_LENGTH => Ok(listeners),
-        _ => Err(io::ErrorKind::UnexpectedEof.into()),
+    if received.bytes == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
     }
+    // A signal may also end the receive after a part of the head.
+    let rest = read_exactly(stream, HEAD_LENGTH - received.bytes, deadline)?;
+    head[received.bytes..].copy_from_slice(&rest);
+    Ok(listeners)
 }
--- a/crates/node/tests/golden_handover.rs
+++ b/crates/node/tests/golden_handover.rs
@@ -15,7 +15,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Much longer than any step takes.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -145,14 +145,18 @@
     /// Hands over these listeners and a body.
     fn send_state(&mut self, listeners: &[OwnedFd], body: &str) {
         let whole = format!("{:08x}\n{body}", body.len());
+        self.send_with_listeners(listeners, whole.as_bytes());
+    }
+
+    fn send_with_listeners(&mut self, listeners: &[OwnedFd], bytes: &[u8]) {
         let listeners: Vec<_> = listeners.iter().map(AsFd::as_fd).collect();
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(LISTENERS))];
         let mut control = SendAncillaryBuffer::new(&mut space);
         assert!(control.push(SendAncillaryMessage::ScmRights(&listeners)));
-        let parts = [IoSlice::new(whole.as_bytes())];
+        let parts = [IoSlice::new(bytes)];
         let link = self.reader.get_ref();
         let sent = rustix::net::sendmsg(link, &parts, &mut control, SendFlags::empty());
-        assert_eq!(sent.expect("the new process reads"), whole.len());
+        assert_eq!(sent.expect("the new process reads"), bytes.len());
     }
 }
 
@@ -221,15 +225,11 @@
 }
 
 /// Plays the old process: hands over its state, receives the services of the new process, and sends it these lines.
-fn play_predecessor(
-    listener: &UnixListener,
-    listeners: &[OwnedFd],
-    state: &str,
-    lines: &[&str],
-) -> String {
-    let (stream, _) = listener.accept().expect("the new process connects");
+fn play_predecessor(predecessor: &PlayedPredecessor, state: &str, lines: &[&str]) -> String {
+    let accepted = predecessor.handover.accept();
+    let (stream, _) = accepted.expect("the new process connects");
     let mut link = Link::new(stream);
-    link.send_state(listeners, state);
+    link.send_state(&predecessor.listeners, state);
     let mut text = format!("state: {state}\n< {}\n", link.next_line());
     for line in lines {
         let _ = writeln!(text, "> {line}");
@@ -244,18 +244,88 @@
     text
 }
 
+/// A test in the place of a running process that is to be replaced.
+struct PlayedPredecessor {
+    /// The sockets that the next process takes over.
+    listeners: Vec<OwnedFd>,
+    /// Listens at the handover socket.
+    handover: UnixListener,
+    /// The link to the running process, which would listen at its socket again if it lost its successor.
+    _link: Link,
+}
+
+/// Takes the place of the running process.
+fn replace_predecessor(environment: &TestEnvironment) -> PlayedPredecessor {
+    let path = handover_socket(environment);
+    let mut link = Link::new(UnixStream::connect(&path).expect("the node listens"));
+    let (listeners, _, _) = link.receive_state();
+    let new_socket = path.with_extension("test");
+    let handover = UnixListener::bind(&new_socket).expect("a socket");
+    std::fs::rename(&new_socket, path).expect("renamed");
+    PlayedPredecessor {
+        listeners,
+        handover,
+        _link: link,
+    }
+}
+
+/// Sends SIGHUP to the process that was started last while it waits in a system call, and returns once it waits again.
+fn interrupt_wait(environment: &TestEnvironment) {
+    wait_until_asleep(environment);
+    environment.signal(environment.running() - 1, "-HUP");
+    wait_until_asleep(environment);
+}
+
+/// Waits until the process that was started last sleeps and has no pending signal.
+fn wait_until_asleep(environment: &TestEnvironment) {
+    let path = format!("/proc/{}/status", environment.process_id());
+    let deadline = Instant::now() + TIMEOUT;
+    let is_asleep = |status: &str| {
+        let mut lines = status.lines().filter_map(|line| line.split_once(":\t"));
+        lines.all(|(name, value)| match name {
+            "State" => value.starts_with('S'),
+            "SigPnd" | "ShdPnd" => value.bytes().all(|digit| digit == b'0'),
+            _ => true,
+        })
+    };
+    while !is_asleep(&std::fs::read_to_string(&path).expect("the process runs")) {
+        assert!(Instant::now() < deadline, "the process does not wait");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Guards against a signal that makes a starting process give up the takeover, and start without sockets and state.
+#[test]
+fn a_signal_during_the_takeover_does_not_end_it() {
+    let mut environment = TestEnvironment::start(EnvironmentOptions::default());
+    let predecessor = replace_predecessor(&environment);
+    let body = r#"{"out":["w2"],"list":{"revision":0,"complete":true,"members":[]},"told_in_us":null,"parties":[],"sources":{}}"#;
+    let whole = format!("{:08x}\n{body}", body.len()).into_bytes();
+    let successor = environment.launch_successor();
+    let accepted = predecessor.handover.accept();
+    let (stream, _) = accepted.expect("the new process connects");
+    let mut link = Link::new(stream);
+    interrupt_wait(&environment);
+    let (first, rest) = whole.split_at(HEADER_LENGTH / 2);
+    link.send_with_listeners(&predecessor.listeners, first);
+    interrupt_wait(&environment);
+    let (second, rest) = rest.split_at(HEADER_LENGTH);
+    let stream = link.reader.get_mut();
+    stream.write_all(second).expect("the new process reads");
+    interrupt_wait(&environment);
+    let stream = link.reader.get_mut();
+    stream.write_all(rest).expect("the new process reads");
+    environment.await_successor(successor);
+    assert!(environment.has_logged("takes over from a process that runs"));
+    environment.wait_for_member("w2", |line| line.is_some_and(|line| line.contains(" out ")));
+}
+
 /// A new process takes over the state in the golden lines of the process that it replaces.
 #[test]
 fn a_successor_takes_over_the_state_of_its_predecessor() {
     let mut environment = TestEnvironment::start(EnvironmentOptions::default());
     // The test takes the listeners over from the running process, and hands them over to the next one.
-    let mut link =
-        Link::new(UnixStream::connect(handover_socket(&environment)).expect("the node listens"));
-    let (listeners, _, _) = link.receive_state();
-    // Replaces the handover socket of the running process, as another process of this node would.
-    let new_socket = handover_socket(&environment).with_extension("test");
-    let listener = UnixListener::bind(&new_socket).expect("a socket");
-    std::fs::rename(&new_socket, handover_socket(&environment)).expect("renamed");
+    let predecessor = replace_predecessor(&environment);
     let member = |id: usize| {
         let addr = environment.workers[id].address;
         format!(
@@ -280,8 +350,7 @@
         r#"{"back":"w2"}"#,
         r#""ending""#,
     ];
-    let predecessor =
-        std::thread::spawn(move || play_predecessor(&listener, &listeners, &state, &lines));
+    let predecessor = std::thread::spawn(move || play_predecessor(&predecessor, &state, &lines));
     environment.crash_and_restart();
     let transcript = predecessor
         .join()
