Let both soaks share how seeds are chosen, run and reported

Cause: restart_soak wrote the loop of drain_soak again. Change: run_seeds in test-support; the default seeds are a constant of each soak. What is checked is unchanged: any fault of any seed fails the test.

--- a/crates/node/tests/drain_soak.rs
+++ b/crates/node/tests/drain_soak.rs
@@ -6,7 +6,7 @@
 //!
 //! Long run: `MARBLEDECK_SOAK_SEEDS=1..51 cargo test --release -p marbledeck-node --test drain_soak -- --nocapture`.
 
-use marbledeck_test_support::soak::{Random, StallMeter};
+use marbledeck_test_support::soak::{run_seeds, Random, StallMeter};
 use marbledeck_test_support::{
     AnswerForm, Delivery, DiscoveryStub, EnvironmentOptions, JobClient, ListedEndpoint,
     SeenRequest, TestEnvironment, WorkerCrowd,
@@ -18,6 +18,8 @@
 use std::thread::{sleep, JoinHandle};
 use std::time::{Duration, Instant};
 
+/// The seeds that run by default.
+const CI_SEEDS: Range<u64> = 1..7;
 const WORKERS: usize = 2400;
 const CLIENTS: usize = 6;
 const IDLE_CONNECTIONS: usize = 150;
@@ -355,29 +357,8 @@
     faults
 }
 
-/// The seeds to run: the range `FROM..TO` in `MARBLEDECK_SOAK_SEEDS`, or a few by default.
-fn seeds() -> Range<u64> {
-    let named = std::env::var("MARBLEDECK_SOAK_SEEDS").ok();
-    let range = named.as_deref().and_then(|named| named.split_once(".."));
-    range.map_or(1..7, |(from, to)| {
-        let number = |text: &str| text.parse().expect("FROM..TO");
-        number(from)..number(to)
-    })
-}
-
 #[test]
 fn no_request_begins_at_a_drained_worker_during_list_changes_and_restarts() {
     let crowd = WorkerCrowd::start(WORKERS);
-    let mut found = Vec::new();
-    let mut seeds_run = 0;
-    for seed in seeds() {
-        let faults = run_seed(seed, &crowd);
-        seeds_run += 1;
-        let faults = faults
-            .into_iter()
-            .map(|fault| format!("seed {seed}: {fault}"));
-        found.extend(faults.inspect(|fault| println!("{fault}")));
-    }
-    println!("{seeds_run} seeds, {} faults", found.len());
-    assert!(found.is_empty(), "{}", found.join("\n"));
+    run_seeds(CI_SEEDS, |seed| run_seed(seed, &crowd));
 }
--- a/crates/node/tests/restart_soak.rs
+++ b/crates/node/tests/restart_soak.rs
@@ -5,8 +5,8 @@
 //! Long run: `MARBLEDECK_SOAK_SEEDS=1..61 cargo test --release -p marbledeck-node --test restart_soak -- --nocapture`.
 
 use marbledeck_test_support::soak::{
-    job_class, planned_behaviour, Audit, ClientKind, JobClass, JobConnection, Random, SoakClient,
-    Submitter,
+    job_class, planned_behaviour, run_seeds, Audit, ClientKind, JobClass, JobConnection, Random,
+    SoakClient, Submitter,
 };
 use marbledeck_test_support::{EnvironmentOptions, JobBehaviour, ReceivedJob, TestEnvironment};
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,6 +16,8 @@
 use std::thread::{sleep, JoinHandle};
 use std::time::{Duration, Instant};
 
+/// The seeds that run by default.
+const CI_SEEDS: Range<u64> = 1..7;
 const WORKERS: usize = 9;
 const CLIENTS: usize = 24;
 /// More than the node has descriptors in a run with a crowd.
@@ -439,28 +441,7 @@
     faults
 }
 
-/// The seeds to run: the range `FROM..TO` in `MARBLEDECK_SOAK_SEEDS`, or a few by default.
-fn seeds() -> Range<u64> {
-    let named = std::env::var("MARBLEDECK_SOAK_SEEDS").ok();
-    let range = named.as_deref().and_then(|named| named.split_once(".."));
-    range.map_or(1..7, |(from, to)| {
-        let number = |text: &str| text.parse().expect("FROM..TO");
-        number(from)..number(to)
-    })
-}
-
 #[test]
 fn every_request_is_answered_once_and_in_time_over_restarts_and_upgrades() {
-    let mut found = Vec::new();
-    let mut seeds_run = 0;
-    for seed in seeds() {
-        let faults = run_seed(seed);
-        seeds_run += 1;
-        let faults = faults
-            .into_iter()
-            .map(|fault| format!("seed {seed}: {fault}"));
-        found.extend(faults.inspect(|fault| println!("{fault}")));
-    }
-    println!("{seeds_run} seeds, {} faults", found.len());
-    assert!(found.is_empty(), "{}", found.join("\n"));
+    run_seeds(CI_SEEDS, run_seed);
 }
--- a/crates/test-support/src/soak/mod.rs
+++ b/crates/test-support/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod job_plan;
 mod random;
+mod seeds;
 mod stall_meter;
 mod submitter;
 
@@ -14,5 +15,6 @@
 pub use connection::{JobAnswer, JobConnection, JobRequest, ReceiveError};
 pub use job_plan::{job_class, planned_behaviour, JobClass};
 pub use random::Random;
+pub use seeds::run_seeds;
 pub use stall_meter::StallMeter;
 pub use submitter::Submitter;
