--- a/review/standins.py
+++ b/review/standins.py
@@ -44,19 +44,20 @@
     free while its process is restarted."""
     with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as file:
         low = int(file.read().split()[0])
-    first = 10000 if low > 14000 else 1100
-    number = first + (os.getpid() * 97 + int(time.time() * 1000)) % (low - first)
-    for _ in range(low - first):
-        number = first + (number + 1 - first) % (low - first)
-        if number in used:
+    first, last = (10000, low) if low > 12000 else (10000, 30000)
+    number = (os.getpid() * 97 + int(time.time() * 1000)) % (last - first)
+    for _ in range(last - first):
+        number = (number + 1) % (last - first)
+        port = first + number
+        if port in used:
             continue
         with socket.socket() as probe:
             try:
-                probe.bind((HOST, number))
+                probe.bind((HOST, port))
             except OSError:
                 continue
-        used.add(number)
-        return number
+        used.add(port)
+        return port
     raise CannotRun("no free port")
 
 
