--- a/review/standins.py
+++ b/review/standins.py
@@ -1,5 +1,5 @@
-"""Stand-ins for a small deployment on loopback: discovery, render workers, submitters, clients, links, and the start
-and end of the node's processes. Standard library only."""
+"""Stand-ins for a small deployment on loopback: discovery, render workers, submitters and operators, and the start and
+end of the node's processes. Standard library only."""
 
 import json
 import os
@@ -7,7 +7,6 @@
 import shutil
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
@@ -192,11 +191,11 @@
 
 class Worker:
     """A render worker as in PROTOCOL. `run_s(job)` tells how long a job runs. Work does not stop when its connection is
-    closed. `spoil(job)` may return bytes that the worker sends in the middle of the answer in place of a proper line."""
+    closed."""
 
-    def __init__(self, name, record, cell_number, cell, run_s, zone="keller-ost", kind="r5-std", slots=8, spoil=None):
+    def __init__(self, name, record, cell_number, cell, run_s, zone="keller-ost", kind="r5-std", slots=8):
         self.id, self.zone, self.kind, self.cell_number = name, zone, kind, cell_number
-        self.cell, self.run_s, self.slots, self.spoil = cell, run_s, slots, spoil
+        self.cell, self.run_s, self.slots = cell, run_s, slots
         self.record = record
         self.lock = threading.Lock()
         self.runs = []
@@ -258,12 +257,7 @@
                 self.runs.append(run)
             self.record(self.id, f"runs: txn {txn} key {key} {target}, for {seconds} s")
             self.line(connection, alive, {"id": txn, "from": self.id, "state": "started"})
-            spoilt = self.spoil(run) if self.spoil else None
             end = run["at"] + seconds
-            if spoilt is not None:
-                time.sleep(min(seconds, 0.3))
-                self.record(self.id, f"sends a spoilt line for {txn}: {spoilt!r}")
-                self.line(connection, alive, spoilt)
             while time.monotonic() < end:
                 time.sleep(max(0.0, min(1.0, end - time.monotonic())))
                 if time.monotonic() < end:
@@ -283,67 +277,6 @@
         return alive[0]
 
 
-class Link:
-    """A proxy between two parties; each direction can be held back. What is held back is delivered later, or lost with
-    the connection."""
-
-    def __init__(self, target_port, record, name):
-        self.target_port, self.record, self.name = target_port, record, name
-        self.condition = threading.Condition()
-        self.held = {"to": False, "from": False}
-        self.connections = []
-        self.port = serve(self.handle)
-        self.address = f"{HOST}:{self.port}"
-
-    def hold(self, to, back):
-        self.record(self.name, f"holds back: requests {to}, answers {back}")
-        with self.condition:
-            self.held = {"to": to, "from": back}
-            self.condition.notify_all()
-
-    def reset(self):
-        self.record(self.name, "resets its connections")
-        with self.condition:
-            connections, self.connections = self.connections, []
-        for connection in connections:
-            try:
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-
-    def handle(self, client):
-        try:
-            server = socket.create_connection((HOST, self.target_port))
-        except OSError:
-            return
-        server.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with self.condition:
-            self.connections += [client, server]
-        back = threading.Thread(target=self.copy, args=(server, client, "from"), daemon=True)
-        back.start()
-        self.copy(client, server, "to")
-        back.join()
-        server.close()
-
-    def copy(self, source, target, direction):
-        while True:
-            try:
-                data = source.recv(65536)
-            except OSError:
-                data = b""
-            with self.condition:
-                while self.held[direction]:
-                    self.condition.wait()
-            try:
-                if not data:
-                    target.shutdown(socket.SHUT_WR)
-                    return
-                target.sendall(data)
-            except OSError:
-                return
-
-
 class Submitter:
     """A connection to a node's submission front: one JSON object a line."""
 
