Review: end a case with 2 where a slow machine leaves the limits of its claim

Cause: asked whether each script stays inside its quoted limit on a busy machine.

Change: the scripts check these bounds and end with 2; the claims name them; the path of the site file is quoted and the temporary folder's path kept short, so that the clone may lie anywhere; a case that is stopped removes its folder.

--- a/review/standins.py
+++ b/review/standins.py
@@ -4,6 +4,7 @@
 import json
 import os
 import re
+import shlex
 import shutil
 import signal
 import socket
@@ -309,6 +310,8 @@
         return self.receive(self.send(request))
 
     def close(self):
+        # The socket ends with the last of both.
+        self.stream.close()
         self.socket.close()
 
 
@@ -411,7 +414,7 @@
                            LB_DISCOVERY=self.discovery.address, LB_OPS=ops, MARBLEDECK_LOG="debug",
                            TMPDIR=os.path.join(self.folder, "tmp"))
         log = open(os.path.join(self.folder, f"log-{self.starts}.txt"), "wb")
-        command = run.replace("deploy/site.toml", self.write_site())
+        command = run.replace("deploy/site.toml", shlex.quote(self.write_site()))
         process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                                    stdout=log, stderr=log)
         self.processes.append(process)
@@ -428,6 +431,19 @@
         except OSError:
             return ""
 
+    def upgrade(self):
+        """operations.md, `Upgrading`: the new process beside the old one, `check` until `ACK`, SIGTERM to the old one.
+        Returns the old process, and when it got the signal. An upgrade that the page itself lets become a restart (the
+        old process doesn't answer within a second) is no case."""
+        old = self.processes[-1]
+        self.move_ops()
+        self.start()
+        wait_until("the new process answers ACK", lambda: self.check().startswith("ACK"))
+        if "takes over from a process that runs" not in self.log_of(self.starts):
+            raise CannotRun("the new process has taken over nothing, so this was a restart")
+        self.signal(signal.SIGTERM, old)
+        return old, time.monotonic()
+
     def wait_ready(self):
         wait_until(f"{self.name} is ready", lambda: get_ready(self.address))
 
@@ -446,12 +462,9 @@
                 process.kill()
             process.wait()
 
-    def log(self):
-        text = ""
-        for number in range(1, self.starts + 1):
-            with open(os.path.join(self.folder, f"log-{number}.txt"), encoding="utf-8", errors="replace") as file:
-                text += file.read()
-        return text
+    def log_of(self, number):
+        with open(os.path.join(self.folder, f"log-{number}.txt"), encoding="utf-8", errors="replace") as file:
+            return file.read()
 
 
 def agreement_text(node, number, count, voters, fleet):
@@ -481,6 +494,7 @@
             return text + agreement_text(node, number, 3, voters, name) + extra
 
         self.nodes = []
+        # Short names: a socket's path, which is in the node's temporary folder, has 107 bytes at most.
         for index in range(3):
             node = Node(f"{name}-n{index + 1}", folder, record, self.discovery,
                         settings(3, index, **(platform or {})), operator_file, submission)
@@ -536,19 +550,24 @@
     if not os.path.exists(os.path.join(ROOT, "target", "release", "marbledeck")):
         record("case", "cannot run: the build of the deploy file is missing")
         sys.exit(2)
-    temporary = tempfile.mkdtemp(prefix="marbledeck-review-")
+    temporary = tempfile.mkdtemp(prefix="review-")
+    if len(temporary) > 40:
+        # A node's socket lies in it, and the path of a socket has 107 bytes at most.
+        os.rmdir(temporary)
+        temporary = tempfile.mkdtemp(prefix="review-", dir="/tmp")
     clean_ups = []
 
     def expire():
         record("case", "cannot run: not over within 115 s")
         for clean_up in clean_ups:
             clean_up()
+        shutil.rmtree(temporary, ignore_errors=True)
         os._exit(2)
 
     timer = threading.Timer(115, expire)
     timer.daemon = True
     timer.start()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda *_: sys.exit(2))
     code = 2
     try:
@@ -570,6 +589,7 @@
         timer.cancel()
         for clean_up in clean_ups:
             clean_up()
+        record("case", f"all processes have ended; {record.now():.1f} s")
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             for folder_, _, names in os.walk(temporary):
