Log how much of the batch submissions' state an upgrade sends and takes over

Cause: after an upgrade that loses jobs or keys, the logs of neither process told whether the old process had not sent them or the new one had dropped them: a job whose template is missing was dropped without a word. Change: the old process logs how many sessions, arrays and jobs it has sent once the new one confirms them; the new one logs how many it has taken over, and warns of dropped jobs.

--- a/crates/node/src/submission/mod.rs
+++ b/crates/node/src/submission/mod.rs
@@ -227,6 +227,35 @@
     }
 }
 
+/// Logs how much of the state was sent to the successor, or taken over from the predecessor.
+fn log_transfer_counts(side: handover::Side, server: &Server) {
+    match side {
+        handover::Side::Successor => {
+            let sent = server.sent_counts();
+            log::info!(
+                "submission: the successor has taken over the state: {} sessions, {} arrays and {} jobs were sent",
+                sent.sessions, sent.arrays, sent.jobs
+            );
+        }
+        handover::Side::Predecessor => {
+            let taken_over = server.taken_over_counts();
+            log::info!(
+                "submission: took over {} sessions, {} arrays and {} jobs from the predecessor",
+                taken_over.sessions,
+                taken_over.arrays,
+                taken_over.jobs
+            );
+            if taken_over.dropped_jobs > 0 {
+                log::warn!(
+                    "submission: dropped {} jobs of the predecessor, which sent neither their template nor their \
+                     array; these jobs and their submission keys are unknown from now on",
+                    taken_over.dropped_jobs
+                );
+            }
+        }
+    }
+}
+
 /// The submission server's name for the role of the other process.
 fn partner(side: handover::Side) -> Partner {
     match side {
@@ -371,9 +400,17 @@
         match serde_json::from_value::<Transfer>(message) {
             Ok(transfer) => {
                 let was_paused = self.server.is_paused();
+                let ends_transfer = matches!(
+                    (&transfer, side),
+                    (Transfer::End, handover::Side::Predecessor)
+                        | (Transfer::Taken, handover::Side::Successor)
+                );
                 let scheduler = &mut NodeScheduler(context);
                 self.server
                     .handle_transfer(now, partner(side), transfer, scheduler);
+                if ends_transfer {
+                    log_transfer_counts(side, &self.server);
+                }
                 if was_paused && !self.server.is_paused() {
                     self.deferred.extend(self.submitters.keys());
                 }
--- a/crates/submission/src/server/handover/export.rs
+++ b/crates/submission/src/server/handover/export.rs
@@ -36,8 +36,9 @@
                 SendProgress::Sent | SendProgress::Confirmed => return None,
             };
             self.handover.progress = Some(progress);
-            if message.is_some() {
-                return message;
+            if let Some(message) = message {
+                self.handover.sent.count(&message);
+                return Some(message);
             }
         }
     }
--- a/crates/submission/src/server/handover/import.rs
+++ b/crates/submission/src/server/handover/import.rs
@@ -89,7 +89,8 @@
                 });
             }
         }
-        self.sessions.restore(now, name, last_event, imported);
+        let restored = self.sessions.restore(now, name, last_event, imported);
+        self.handover.taken_over.sessions += usize::from(restored.is_some());
     }
 
     fn import_array(&mut self, id: &str, mut array: JobArray) {
@@ -97,6 +98,7 @@
             // Its members follow as jobs.
             array.is_growing = true;
             self.arrays.insert(key, array);
+            self.handover.taken_over.arrays += 1;
         }
     }
 
@@ -129,8 +131,10 @@
             .and_then(|id| self.ids.parse_or_register(id));
         let array = array_key.filter(|array| self.arrays.contains_key(array));
         let Some(template) = self.imported_template(record.template.take(), array) else {
+            self.handover.taken_over.dropped_jobs += 1;
             return;
         };
+        self.handover.taken_over.jobs += 1;
         let session = record.session.as_deref();
         let session = session.and_then(|name| self.sessions.find(name));
         let job = imported_job(key, template, session, array, &record);
--- a/crates/submission/src/server/handover/mod.rs
+++ b/crates/submission/src/server/handover/mod.rs
@@ -19,7 +19,7 @@
 use crate::jobs::{Job, JobLocation, JobOutcome};
 use crate::partner::Partner;
 use crate::state::{Change, JobState, SubState};
-use crate::transfer::Transfer;
+use crate::transfer::{Transfer, TransferCounts};
 use marbledeck_dispatcher::Micros;
 use std::collections::BTreeSet;
 
@@ -57,6 +57,10 @@
     changed_for_predecessor: BTreeSet<JobKey>,
     /// Jobs whose changes must be sent to the successor.
     changed_for_successor: BTreeSet<JobKey>,
+    /// What was sent to the successor.
+    sent: TransferCounts,
+    /// What was taken over from the predecessor.
+    taken_over: TransferCounts,
     /// The partner whose message is being applied, to which the resulting changes must not be sent back.
     source: Option<Partner>,
 }
@@ -113,6 +117,7 @@
     pub fn begin_handover(&mut self) {
         if self.handover.progress.is_none() {
             self.handover.progress = Some(SendProgress::Sessions(0));
+            self.handover.sent = TransferCounts::default();
         }
     }
 
@@ -121,6 +126,16 @@
         self.handover.progress.is_some()
     }
 
+    /// How much of its state this process has sent to the successor.
+    pub fn sent_counts(&self) -> TransferCounts {
+        self.handover.sent
+    }
+
+    /// How much of the predecessor's state this process has taken over.
+    pub fn taken_over_counts(&self) -> TransferCounts {
+        self.handover.taken_over
+    }
+
     /// Whether the successor, if there is one, has confirmed the state and received all changes.
     pub fn is_handover_complete(&self) -> bool {
         match self.handover.progress {
--- a/crates/submission/src/transfer.rs
+++ b/crates/submission/src/transfer.rs
@@ -41,6 +41,31 @@
     Taken,
 }
 
+/// How much of a predecessor's state was sent or taken over in a handover.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TransferCounts {
+    /// The number of sessions.
+    pub sessions: usize,
+    /// The number of arrays.
+    pub arrays: usize,
+    /// The number of jobs, including reaped jobs whose submission key is still in use.
+    pub jobs: usize,
+    /// The number of received jobs that were dropped because neither they nor a known array had a template.
+    pub dropped_jobs: usize,
+}
+
+impl TransferCounts {
+    /// Counts a message with a part of the state.
+    pub(crate) fn count(&mut self, message: &Transfer) {
+        match message {
+            Transfer::Session { .. } => self.sessions += 1,
+            Transfer::Array { .. } => self.arrays += 1,
+            Transfer::Job(_) => self.jobs += 1,
+            Transfer::End | Transfer::Taken => {}
+        }
+    }
+}
+
 /// A job as one process sends it to the other.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
