Keep an array while reaped members hold their keys, so that upgrades keep the keys

Cause: a reaped member is kept, hidden, while its key is held, and its record in the handover names its array in place of a template. The array was removed with its last visible member (`remove_member`), so the old process sent members of an array that it had forgotten, and the new one dropped them (`import_job`). Change: an array exists as long as any job belongs to it, visible or not. `JobTable` counts the jobs of each array where it adds and removes them; `remove_unused_array` is the one place that removes an array for want of jobs. Clients see an array only while it has visible members or grows, as before. The wire form is unchanged. Why it works: whatever is sent refers to what still exists, at each process of a chain and whichever members are reaped when.

--- a/crates/submission/src/jobs/table.rs
+++ b/crates/submission/src/jobs/table.rs
@@ -3,10 +3,11 @@
 use super::job::{tenant_key, TenantKey, JOB_OVERHEAD_BYTES};
 use super::{Job, JobLocation, JobOutcome, Visibility};
 use crate::error::Problem;
-use crate::ids::JobKey;
+use crate::ids::{ArrayKey, JobKey};
 use crate::state::{Change, JobState, SubState};
 use crate::template::Template;
 use marbledeck_dispatcher::{Micros, RequestId};
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound::{Excluded, Unbounded};
 
@@ -25,6 +26,8 @@
     jobs: BTreeMap<JobKey, Job>,
     by_tenant_key: HashMap<TenantKey, JobKey>,
     by_request: HashMap<RequestId, JobKey>,
+    /// The number of jobs of each array, visible or not.
+    array_sizes: HashMap<ArrayKey, usize>,
     due: BTreeSet<(Micros, JobKey)>,
     /// The subset of `due` that belongs to ended jobs: the first entry tells when a full table has room again.
     expiries: BTreeSet<(Micros, JobKey)>,
@@ -41,6 +44,7 @@
             jobs: BTreeMap::new(),
             by_tenant_key: HashMap::new(),
             by_request: HashMap::new(),
+            array_sizes: HashMap::new(),
             due: BTreeSet::new(),
             expiries: BTreeSet::new(),
         }
@@ -142,6 +146,9 @@
         if let JobLocation::Scheduled(id) = job.location {
             self.by_request.insert(id, key);
         }
+        if let Some(array) = job.array {
+            *self.array_sizes.entry(array).or_default() += 1;
+        }
         let due = job.due;
         self.jobs.insert(key, Job { due: None, ..job });
         self.set_due(key, due);
@@ -284,6 +291,23 @@
         if let JobLocation::Scheduled(id) = job.location {
             self.by_request.remove(&id);
         }
+        if let Some(array) = job.array {
+            self.remove_from_array(array);
+        }
+    }
+
+    fn remove_from_array(&mut self, array: ArrayKey) {
+        if let Entry::Occupied(mut size) = self.array_sizes.entry(array) {
+            *size.get_mut() -= 1;
+            if *size.get() == 0 {
+                size.remove();
+            }
+        }
+    }
+
+    /// Whether any job belongs to this array: visible, not yet visible, or kept only for its submission key.
+    pub fn has_members(&self, array: ArrayKey) -> bool {
+        self.array_sizes.contains_key(&array)
     }
 
     /// When the next job is due.
--- a/crates/submission/src/server/arrays.rs
+++ b/crates/submission/src/server/arrays.rs
@@ -12,6 +12,10 @@
 use std::rc::Rc;
 
 /// An array of jobs from one template.
+///
+/// It exists as long as any job belongs to it, visible or not: a job names its array instead of holding what all members
+/// share, so a job whose array is gone could neither be started nor be handed over to a successor. Clients only see an
+/// array that has visible members, or to which members are still being added.
 pub(super) struct JobArray {
     pub(super) template: Rc<Template>,
     pub(super) session: Option<SessionKey>,
@@ -73,8 +77,13 @@
         has_capacity && !self.is_stopped && !is_paused
     }
 
+    /// Whether clients can see it.
+    fn is_visible(&self) -> bool {
+        self.is_growing || !self.members.is_empty()
+    }
+
     /// Removes a member that is no longer visible.
-    fn remove_member(&mut self, job: JobKey) {
+    fn hide_member(&mut self, job: JobKey) {
         self.members.remove(&job);
         self.running.remove(&job);
         self.ended.remove(&job);
@@ -92,10 +101,11 @@
         Some((key, self.arrays.get_mut(&key)?))
     }
 
-    /// Finds the array with this id.
+    /// Finds the visible array with this id.
     pub(super) fn find_array(&self, id: &str) -> Result<ArrayKey, Problem> {
+        let is_visible = |key: &ArrayKey| self.arrays.get(key).is_some_and(JobArray::is_visible);
         let key = self.ids.parse(id);
-        key.filter(|key| self.arrays.contains_key(key))
+        key.filter(is_visible)
             .ok_or_else(|| Problem::invalid_argument("no such job array"))
     }
 
@@ -144,17 +154,28 @@
         }
     }
 
-    /// Removes a member that is no longer visible, and its array if that was the last one.
-    pub(super) fn remove_member(&mut self, job: JobKey, array: Option<ArrayKey>) {
-        let Some((key, array)) = self.array_mut(array) else {
+    /// Removes a member that is no longer visible from its array's sets.
+    pub(super) fn hide_member(&mut self, job: JobKey, array: Option<ArrayKey>) {
+        if let Some((_, array)) = self.array_mut(array) {
+            array.hide_member(job);
+        }
+    }
+
+    /// Removes an array if no job belongs to it and none will.
+    pub(super) fn remove_unused_array(&mut self, array: Option<ArrayKey>) {
+        let Some(key) = array else {
             return;
         };
-        array.remove_member(job);
-        if array.members.is_empty() && !array.is_growing {
-            if let Some(time) = array.paused_until {
-                self.paused_arrays.remove(&(time, key));
-            }
-            self.arrays.remove(&key);
+        let is_growing = self.arrays.get(&key).is_some_and(|array| array.is_growing);
+        if is_growing || self.jobs.has_members(key) {
+            return;
+        }
+        let paused_until = self
+            .arrays
+            .remove(&key)
+            .and_then(|array| array.paused_until);
+        if let Some(time) = paused_until {
+            self.paused_arrays.remove(&(time, key));
         }
     }
 
--- a/crates/submission/src/server/control.rs
+++ b/crates/submission/src/server/control.rs
@@ -160,8 +160,7 @@
             ControlAction::Resume => illegal("not suspended"),
             ControlAction::Reap if !state.is_final() => illegal("not to be reaped"),
             ControlAction::Reap => {
-                self.hide_job(now, key);
-                self.jobs.reap(key, now);
+                self.reap_job(now, key);
                 self.handover.queue_change(self.jobs.get_any(key));
                 Ok(state)
             }
--- a/crates/submission/src/server/handover/import.rs
+++ b/crates/submission/src/server/handover/import.rs
@@ -183,8 +183,7 @@
         };
         if job.has_ended() {
             if record.is_reaped && !job.is_reaped() && record.state.is_final() {
-                self.hide_job(now, key);
-                self.jobs.reap(key, now);
+                self.reap_job(now, key);
             }
             return;
         }
--- a/crates/submission/src/server/handover/mod.rs
+++ b/crates/submission/src/server/handover/mod.rs
@@ -204,8 +204,10 @@
             array.is_growing = false;
         }
         let arrays: Vec<ArrayKey> = self.arrays.keys().copied().collect();
-        self.ready_arrays.extend(arrays);
-        self.arrays.retain(|_, array| !array.members.is_empty());
+        for array in arrays {
+            self.ready_arrays.insert(array);
+            self.remove_unused_array(Some(array));
+        }
     }
 
     fn take_over_job(&mut self, key: JobKey) {
--- a/crates/submission/src/server/lifecycle.rs
+++ b/crates/submission/src/server/lifecycle.rs
@@ -93,8 +93,8 @@
         }
     }
 
-    /// Removes a job that is no longer visible from its session and array.
-    pub(super) fn hide_job(&mut self, now: Micros, key: JobKey) {
+    /// Removes a job that is no longer visible from its session and from the visible members of its array.
+    fn hide_job(&mut self, now: Micros, key: JobKey) {
         let Some(job) = self.jobs.get(key) else {
             return;
         };
@@ -102,12 +102,22 @@
         if let Some(session) = session {
             self.sessions.remove_job(now, session, key);
         }
-        self.remove_member(key, array);
+        self.hide_member(key, array);
     }
 
-    /// Removes a job completely.
+    /// Hides an ended job from clients. It is removed unless its submission key is still in use.
+    pub(super) fn reap_job(&mut self, now: Micros, key: JobKey) {
+        let array = self.jobs.get(key).and_then(|job| job.array);
+        self.hide_job(now, key);
+        self.jobs.reap(key, now);
+        self.remove_unused_array(array);
+    }
+
+    /// Removes a job completely, and its array if no other job belongs to it.
     pub(super) fn remove_job(&mut self, now: Micros, key: JobKey) {
+        let array = self.jobs.get_any(key).and_then(|job| job.array);
         self.hide_job(now, key);
         self.jobs.remove(key);
+        self.remove_unused_array(array);
     }
 }
--- a/crates/submission/tests/common/mod.rs
+++ b/crates/submission/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test binary uses only a part of this module")]
 
 pub mod transcript;
+pub mod upgrade;
 
 use marbledeck_dispatcher::{Micros, RequestId};
 use marbledeck_submission::message::{Machine, Problem, Queue};
--- a/crates/submission/tests/handover.rs
+++ b/crates/submission/tests/handover.rs
@@ -2,39 +2,11 @@
 
 mod common;
 
+use common::upgrade::exchange;
 use common::{limits, secs, served, text_field, Harness};
 use marbledeck_submission::{Limits, Partner};
 use serde_json::{json, Value};
 
-/// Exchanges at most `max_messages` messages between predecessor and successor.
-fn exchange(old: &mut Harness, new: &mut Harness, max_messages: usize) -> usize {
-    let mut exchanged = 0;
-    loop {
-        let before = exchanged;
-        while exchanged < max_messages {
-            let Some(message) = old.server.next_transfer(Partner::Successor) else {
-                break;
-            };
-            let message = serde_json::from_value(serde_json::to_value(message).unwrap()).unwrap();
-            new.server
-                .handle_transfer(new.now, Partner::Predecessor, message, &mut new.scheduler);
-            exchanged += 1;
-        }
-        while exchanged < max_messages {
-            let Some(message) = new.server.next_transfer(Partner::Predecessor) else {
-                break;
-            };
-            let message = serde_json::from_value(serde_json::to_value(message).unwrap()).unwrap();
-            old.server
-                .handle_transfer(old.now, Partner::Successor, message, &mut old.scheduler);
-            exchanged += 1;
-        }
-        if exchanged == before {
-            return exchanged;
-        }
-    }
-}
-
 /// Either process is lost after any number of messages. The survivor must have all acknowledged jobs and submit no key
 /// twice.
 #[test]
