Keep the array of a bulk whose client is lost before its first members are accepted

Callers see: a submitter that is lost in the turn in which the first members of its bulk are taken leaves members that wait until their hold expires (with `maxParallel`), or whose array is unknown (without it). Its resubmission joins jobs that never run. Found by reading on paths related to the lost keys of reaped members; not seen in service. Cause: `handle_disconnect` ended the growth of the array, which was removed since no member was visible yet; members become visible when their submission is answered, at the end of the turn. Jobs then named an array that was gone, and only an array starts its members. Change: `finish_growing` removes an array only if no job belongs to it, and so does the rejection of a submission in its turn. Result: the new test in arrays.rs failed before (no member with the scheduler after the loss, 2 expected) and passes; a second one, on bulks that are rejected whole, passed before, too. All tests of the crate pass.

--- a/crates/submission/src/server/arrays.rs
+++ b/crates/submission/src/server/arrays.rs
@@ -134,14 +134,12 @@
         }
     }
 
-    /// Marks an array as complete, and removes it if it has no members.
+    /// Marks an array as complete, and removes it if no job belongs to it.
     pub(super) fn finish_growing(&mut self, key: ArrayKey) {
         if let Some(array) = self.arrays.get_mut(&key) {
             array.is_growing = false;
-            if array.members.is_empty() {
-                self.arrays.remove(&key);
-            }
         }
+        self.remove_unused_array(Some(key));
     }
 
     /// Removes a job that is no longer with the scheduler from its array's active members, so that another can start.
--- a/crates/submission/src/server/submission.rs
+++ b/crates/submission/src/server/submission.rs
@@ -207,7 +207,9 @@
         if !is_duplicate {
             if job_state == JobState::Failed {
                 let problem = rejection(job);
+                let array = job.array;
                 self.jobs.remove(key);
+                self.remove_unused_array(array);
                 return Submitted::Rejected(problem);
             }
             if job.is_admitting() {
--- a/crates/submission/tests/arrays.rs
+++ b/crates/submission/tests/arrays.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::{limits, secs, served, text_field, Harness};
+use common::{limits, secs, served, text_field, Harness, DEDUP_WINDOW};
+use marbledeck_dispatcher::RequestId;
 use marbledeck_submission::{Limits, Verdict};
 use serde_json::{json, Value};
 
@@ -137,3 +138,71 @@
     assert_eq!(harness.scheduler.submitted, 400);
     assert_eq!(harness.scheduler.duplicates as usize, before);
 }
+
+/// Guards against members that wait until their hold expires, because their array was removed with its client before
+/// they were accepted.
+#[test]
+fn members_run_although_their_client_is_lost_in_the_turn_of_its_bulk() {
+    for max_parallel in [Some(2), None] {
+        let mut harness = Harness::new(limits());
+        harness.connect(1);
+        let bulk = json!({"op": "runBulkJobs", "beginIndex": 1, "endIndex": 3, "maxParallel": max_parallel,
+            "template": {"remoteCommand": "/x", "jobCategory": "sheet", "submissionKey": "k-${PARAMETRIC_INDEX}"}});
+        let line = serde_json::to_vec(&bulk).unwrap();
+        harness
+            .server
+            .handle_line(harness.now, 1, &line, &mut harness.scheduler);
+        harness.server.handle_disconnect(harness.now, 1);
+        harness.run_turn();
+        harness.advance(secs(0));
+        let active = max_parallel.unwrap_or(3);
+        assert_eq!(harness.scheduler.open_jobs.len(), active);
+        harness.connect(2);
+        let answer = harness.send_request(2, bulk);
+        let job = answer["jobs"][0]["jobId"].clone();
+        let info = harness.send_request(2, json!({"op": "getJobInfo", "jobId": job}));
+        let array = info["jobInfo"]["jobArrayId"].clone();
+        let info = harness.send_request(2, json!({"op": "getJobArray", "jobArrayId": array}));
+        assert_eq!(info["jobArray"]["jobs"], 3, "{info}");
+        for _ in 0..3 {
+            let request = *harness.scheduler.open_jobs.keys().next().unwrap();
+            harness.send_to_worker(request, true);
+            harness.end_request(request, served());
+            harness.advance(secs(0));
+        }
+        assert_eq!(harness.scheduler.submitted, 3);
+        let reaped = harness.send_request(2, json!({"op": "reap", "jobArrayId": array}));
+        assert_eq!(reaped["changed"], 3);
+        harness.advance(DEDUP_WINDOW);
+        assert_eq!(harness.server.usage().arrays, 0);
+    }
+}
+
+/// A bulk of which no member is accepted leaves no array behind, also where its client is lost before it is answered.
+#[test]
+fn a_bulk_without_members_leaves_no_array() {
+    for client_is_lost in [false, true] {
+        let mut harness = Harness::new(limits());
+        harness.connect(1);
+        let bulk = json!({"op": "runBulkJobs", "beginIndex": 1, "endIndex": 3,
+            "template": {"remoteCommand": "/x", "jobCategory": "preview"}});
+        let line = serde_json::to_vec(&bulk).unwrap();
+        harness
+            .server
+            .handle_line(harness.now, 1, &line, &mut harness.scheduler);
+        if client_is_lost {
+            harness.server.handle_disconnect(harness.now, 1);
+        }
+        for request in 0..3 {
+            let rejected = Verdict::Rejected { retry_after: None };
+            let request = RequestId(request);
+            harness.scheduler.open_jobs.remove(&request);
+            harness
+                .server
+                .handle_verdict(harness.now, request, rejected, None);
+        }
+        harness.run_turn();
+        let usage = harness.server.usage();
+        assert_eq!((usage.jobs, usage.arrays), (0, 0), "{client_is_lost}");
+    }
+}
