End the growth of an array only with the process or client that adds its members

Callers see: members of a bulk that is handed in again after an upgrade run all at once, beyond `maxParallel`, if the old process ends in the turns in which the first members join known jobs. And members of an array are lost (log: dropped) if a second successor connects while the first process still sends its state. Found by reading on paths related to the lost keys of reaped members. Cause: one flag told that members are still to come. `take_over_waiting_jobs`, which runs at the end of a predecessor's state and at the loss of either link, cleared it for all arrays and removed those without members; jobs that came later named arrays that were gone. Change: `Growth` (Submitting, Importing, Complete) in place of the flag. The predecessor's `End`, or the loss of its link, completes the arrays that it sends; a client's bulk ends by itself; the loss of a successor completes nothing. Result: both tests of upgrade_chains.rs failed before (more than two members with the scheduler; array unknown where the loss comes after its message) and pass, at every turn and after every message. All tests of the crate pass.

--- a/crates/submission/src/server/arrays.rs
+++ b/crates/submission/src/server/arrays.rs
@@ -11,6 +11,17 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 
+/// Whether members are still being added to an array.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Growth {
+    /// A client is submitting them.
+    Submitting,
+    /// The predecessor is sending them.
+    Importing,
+    /// No further members come.
+    Complete,
+}
+
 /// An array of jobs from one template.
 ///
 /// It exists as long as any job belongs to it, visible or not: a job names its array instead of holding what all members
@@ -34,7 +45,7 @@
     /// Whether all members are being terminated, so that none is passed to the scheduler.
     pub(super) is_stopped: bool,
     /// Whether members are still being added; an empty array is kept until then.
-    pub(super) is_growing: bool,
+    pub(super) growth: Growth,
 }
 
 impl JobArray {
@@ -42,6 +53,7 @@
         template: Rc<Template>,
         session: Option<SessionKey>,
         max_parallel: Option<u32>,
+        growth: Growth,
     ) -> Self {
         JobArray {
             template,
@@ -54,7 +66,7 @@
             ended: BTreeSet::new(),
             paused_until: None,
             is_stopped: false,
-            is_growing: false,
+            growth,
         }
     }
 
@@ -77,9 +89,14 @@
         has_capacity && !self.is_stopped && !is_paused
     }
 
+    /// Whether members are still being added.
+    fn is_growing(&self) -> bool {
+        self.growth != Growth::Complete
+    }
+
     /// Whether clients can see it.
     fn is_visible(&self) -> bool {
-        self.is_growing || !self.members.is_empty()
+        self.is_growing() || !self.members.is_empty()
     }
 
     /// Removes a member that is no longer visible.
@@ -137,7 +154,7 @@
     /// Marks an array as complete, and removes it if no job belongs to it.
     pub(super) fn finish_growing(&mut self, key: ArrayKey) {
         if let Some(array) = self.arrays.get_mut(&key) {
-            array.is_growing = false;
+            array.growth = Growth::Complete;
         }
         self.remove_unused_array(Some(key));
     }
@@ -164,7 +181,7 @@
         let Some(key) = array else {
             return;
         };
-        let is_growing = self.arrays.get(&key).is_some_and(|array| array.is_growing);
+        let is_growing = self.arrays.get(&key).is_some_and(JobArray::is_growing);
         if is_growing || self.jobs.has_members(key) {
             return;
         }
--- a/crates/submission/src/server/bulk.rs
+++ b/crates/submission/src/server/bulk.rs
@@ -1,6 +1,6 @@
 //! `runBulkJobs`: submission of an array of jobs over several turns.
 
-use super::arrays::JobArray;
+use super::arrays::{Growth, JobArray};
 use super::client::{ClientId, Task};
 use super::submission::{AdmittedJobs, Origin};
 use super::Server;
@@ -62,8 +62,12 @@
         }
         let template = Rc::new(request.template);
         let array_key = self.ids.allocate();
-        let mut array = JobArray::new(template.clone(), session, request.max_parallel);
-        array.is_growing = true;
+        let array = JobArray::new(
+            template.clone(),
+            session,
+            request.max_parallel,
+            Growth::Submitting,
+        );
         self.arrays.insert(array_key, array);
         let bulk = BulkTask {
             seq: seq.clone(),
--- a/crates/submission/src/server/handover/import.rs
+++ b/crates/submission/src/server/handover/import.rs
@@ -1,6 +1,6 @@
 //! Applies the messages of a partner process.
 
-use super::super::arrays::JobArray;
+use super::super::arrays::{Growth, JobArray};
 use super::super::{retry_pause, Server, RETRY_AFTER_MS};
 use crate::ids::{ArrayKey, JobKey};
 use crate::jobs::{Job, JobLocation, JobOutcome, Visibility};
@@ -58,7 +58,9 @@
                 Partner::Predecessor,
             ) => {
                 let session = session.and_then(|name| self.sessions.find(&name));
-                let mut array = JobArray::new(Rc::new(*template), session, max_parallel);
+                // Its members follow as jobs.
+                let growth = Growth::Importing;
+                let mut array = JobArray::new(Rc::new(*template), session, max_parallel, growth);
                 array.is_stopped = is_stopped;
                 self.import_array(&id, array);
             }
@@ -66,6 +68,7 @@
             (Transfer::End, Partner::Predecessor) => {
                 self.handover.receive_deadline = None;
                 self.handover.must_confirm = true;
+                self.complete_imported_arrays();
                 self.take_over_waiting_jobs(Partner::Predecessor);
             }
             (Transfer::Taken, Partner::Successor) => self.confirm_handover(),
@@ -93,10 +96,8 @@
         self.handover.taken_over.sessions += usize::from(restored.is_some());
     }
 
-    fn import_array(&mut self, id: &str, mut array: JobArray) {
+    fn import_array(&mut self, id: &str, array: JobArray) {
         if let Some(key) = self.ids.parse_or_register(id) {
-            // Its members follow as jobs.
-            array.is_growing = true;
             self.arrays.insert(key, array);
             self.handover.taken_over.arrays += 1;
         }
--- a/crates/submission/src/server/handover/mod.rs
+++ b/crates/submission/src/server/handover/mod.rs
@@ -13,6 +13,7 @@
 mod export;
 mod import;
 
+use super::arrays::{Growth, JobArray};
 use super::Server;
 use crate::error::{ErrorId, Problem};
 use crate::ids::{ArrayKey, JobKey};
@@ -171,6 +172,7 @@
                 self.handover.receive_deadline = None;
                 self.handover.has_predecessor = false;
                 self.handover.must_confirm = false;
+                self.complete_imported_arrays();
             }
             Partner::Successor => self.handover.progress = None,
         }
@@ -200,13 +202,16 @@
         for key in self.jobs.keys_at(waiting_there) {
             self.take_over_job(key);
         }
-        for array in self.arrays.values_mut() {
-            array.is_growing = false;
-        }
-        let arrays: Vec<ArrayKey> = self.arrays.keys().copied().collect();
-        for array in arrays {
-            self.ready_arrays.insert(array);
-            self.remove_unused_array(Some(array));
+        self.ready_arrays.extend(self.arrays.keys());
+    }
+
+    /// Records that the predecessor sends no further members of its arrays, and removes those arrays of which it has
+    /// sent none.
+    fn complete_imported_arrays(&mut self) {
+        let is_importing = |array: &JobArray| array.growth == Growth::Importing;
+        let arrays = self.arrays.iter().filter(|(_, array)| is_importing(array));
+        for key in arrays.map(|(key, _)| *key).collect::<Vec<_>>() {
+            self.finish_growing(key);
         }
     }
 
--- /dev/null
+++ b/crates/submission/tests/upgrade_chains.rs
@@ -0,0 +1,81 @@
+//! Upgrades that meet other events: another upgrade, the end of the old process, submissions that go on.
+
+mod common;
+
+use common::upgrade::{exchange, Upgrade};
+use common::{secs, served, Harness};
+use marbledeck_submission::Partner;
+use serde_json::{json, Value};
+
+/// A bulk with submission keys of which two members may be with the scheduler.
+fn limited_bulk(end_index: u64) -> Value {
+    json!({"op": "runBulkJobs", "beginIndex": 1, "endIndex": end_index, "maxParallel": 2, "template":
+        {"remoteCommand": "/x", "jobCategory": "sheet", "submissionKey": "k-${PARAMETRIC_INDEX}"}})
+}
+
+/// Serves jobs until none is with the scheduler. Returns how many have run. Never more than two may be there.
+fn serve_all(harness: &mut Harness) -> usize {
+    let mut served_jobs = 0;
+    loop {
+        harness.advance(secs(0));
+        assert!(harness.scheduler.open_jobs.len() <= 2);
+        let Some(request) = harness.scheduler.open_jobs.keys().next().copied() else {
+            return served_jobs;
+        };
+        harness.send_to_worker(request, true);
+        harness.end_request(request, served());
+        served_jobs += 1;
+    }
+}
+
+/// Guards against the loss of array members whose process is replaced, or connected to, while it still receives them:
+/// the loss of a successor does not end what a predecessor sends.
+#[test]
+fn a_lost_successor_leaves_the_arrays_that_a_predecessor_still_sends() {
+    const MEMBERS: usize = 5;
+    // The array, its members and the end.
+    for messages_before in 0..=MEMBERS + 2 {
+        let mut upgrade = Upgrade::new();
+        let answer = upgrade.request(limited_bulk(MEMBERS as u64));
+        let mut old = upgrade.start_successor();
+        exchange(&mut old, &mut upgrade.serving, messages_before);
+        let now = upgrade.serving.now;
+        let server = &mut upgrade.serving.server;
+        server.handle_partner_lost(now, Partner::Successor);
+        upgrade.finish(old);
+        let array = json!({"op": "getJobArray", "jobArrayId": answer["jobArrayId"]});
+        let info = upgrade.request(array);
+        let members = &info["jobArray"]["jobs"];
+        assert_eq!(
+            members, MEMBERS,
+            "{messages_before} messages before the loss"
+        );
+    }
+}
+
+/// Guards against members that never run, or run beyond `maxParallel`, because their array was removed when the old
+/// process ended: a bulk is handed in again after an upgrade, and its first members join the jobs of before.
+#[test]
+fn a_bulk_goes_on_when_the_old_process_ends_at_any_turn() {
+    const KNOWN: u64 = 130;
+    const ALL: u64 = 200;
+    for turns in 0..6 {
+        let mut upgrade = Upgrade::new();
+        upgrade.request(limited_bulk(KNOWN));
+        assert_eq!(serve_all(&mut upgrade.serving), KNOWN as usize);
+        let mut old = upgrade.start_successor();
+        exchange(&mut old, &mut upgrade.serving, usize::MAX);
+        let client = upgrade.client;
+        upgrade.serving.send_line(client, limited_bulk(ALL));
+        (0..turns).for_each(|_| upgrade.serving.run_turn());
+        let now = upgrade.serving.now;
+        let server = &mut upgrade.serving.server;
+        server.handle_partner_lost(now, Partner::Predecessor);
+        let new_jobs = (ALL - KNOWN) as usize;
+        assert_eq!(
+            serve_all(&mut upgrade.serving),
+            new_jobs,
+            "the old process ended after {turns} turns"
+        );
+    }
+}
