Send no state to a successor while submissions of the turn are unanswered

Callers see: a job that is submitted in the turn in which a successor begins to serve, and rejected by the scheduler, keeps its key at the new process: handed in again, it joins a job that nobody runs and that ends `lost` with the old process. Found by reading on paths related to the lost keys of reaped members (what refers to a job that may be gone). Cause: a job is in the table before its submission is answered at the end of the turn, and a rejected one is removed from it then without a word. `next_export` sent such jobs as if they were accepted. Change: `can_export` holds the state back while a submission is unanswered. Why it works: submissions are answered at the end of each turn, and lines are no longer read, so the wait is one turn at most.

--- a/crates/submission/src/server/handover/export.rs
+++ b/crates/submission/src/server/handover/export.rs
@@ -16,6 +16,9 @@
 impl Server {
     /// The next message with a part of the state for the successor.
     pub(super) fn next_export(&mut self) -> Option<Transfer> {
+        if !self.can_export() {
+            return None;
+        }
         loop {
             let (message, progress) = match *self.handover.progress.as_ref()? {
                 SendProgress::Sessions(sent) => match self.sessions.iter().nth(sent) {
@@ -43,6 +46,12 @@
         }
     }
 
+    /// Whether all jobs that the successor must know of are known here by now. Until the submissions of this turn are
+    /// answered, the scheduler can still reject their jobs, and then the successor would have jobs that do not exist.
+    fn can_export(&self) -> bool {
+        self.admissions.is_empty()
+    }
+
     fn array_after(&self, after: Option<ArrayKey>) -> Option<ArrayKey> {
         let from = after.map_or(Unbounded, Excluded);
         self.arrays
--- a/crates/submission/tests/upgrade_chains.rs
+++ b/crates/submission/tests/upgrade_chains.rs
@@ -4,7 +4,7 @@
 
 use common::upgrade::{exchange, Upgrade};
 use common::{secs, served, Harness};
-use marbledeck_submission::Partner;
+use marbledeck_submission::{Partner, Verdict};
 use serde_json::{json, Value};
 
 /// A bulk with submission keys of which two members may be with the scheduler.
@@ -79,3 +79,28 @@
         );
     }
 }
+
+/// Guards against a job that its submitter never got and that never runs, but keeps its key until the old process has
+/// ended: it was handed over before the scheduler had accepted it.
+#[test]
+fn a_job_that_is_rejected_in_the_turn_of_an_upgrade_is_not_handed_over() {
+    let mut upgrade = Upgrade::new();
+    let line = limited_bulk(1)
+        .to_string()
+        .replace(r#""maxParallel":2,"#, "");
+    let now = upgrade.serving.now;
+    let old = &mut upgrade.serving;
+    let server = &mut old.server;
+    server.handle_line(now, 0, line.as_bytes(), &mut old.scheduler);
+    let mut old = upgrade.start_successor();
+    exchange(&mut old, &mut upgrade.serving, usize::MAX);
+    let (request, _) = old.scheduler.open_jobs.pop_first().expect("the job");
+    let rejected = Verdict::Rejected { retry_after: None };
+    old.server.handle_verdict(now, request, rejected, None);
+    old.run_turn();
+    exchange(&mut old, &mut upgrade.serving, usize::MAX);
+    assert!(old.server.is_handover_complete());
+    let answer = upgrade.request(limited_bulk(1));
+    assert_eq!(answer["jobs"][0]["duplicate"], false, "{answer}");
+    assert_eq!(serve_all(&mut upgrade.serving), 1);
+}
