Receive the predecessor's whole state before passing it on to a successor

Callers see: with two upgrades in quick succession, jobs that wait never run or end, and keys are forgotten, where the third process is ready while the second still receives the state of the first. Found by reading on paths related to the lost keys of reaped members (chains of upgrades). Cause: `next_export` sent sessions, arrays and jobs in order and then `End`, whatever was still to come from the predecessor. What came later was known to the process in the middle alone, which starts no jobs once it has a successor. Change: `can_export` waits until the state has been received, the predecessor is lost, or the receive timeout (3 s) is over. Result: the new test of upgrade_chains.rs (the second upgrade after each message of the first) failed before (the held job was unknown to the third process) and passes.

--- a/crates/submission/src/server/handover/export.rs
+++ b/crates/submission/src/server/handover/export.rs
@@ -46,10 +46,15 @@
         }
     }
 
-    /// Whether all jobs that the successor must know of are known here by now. Until the submissions of this turn are
-    /// answered, the scheduler can still reject their jobs, and then the successor would have jobs that do not exist.
+    /// Whether everything that the successor must be told is known here by now.
     fn can_export(&self) -> bool {
-        self.admissions.is_empty()
+        // Until then the scheduler can still reject the jobs of this turn, and the successor would have jobs that do
+        // not exist.
+        let are_submissions_answered = self.admissions.is_empty();
+        // What the predecessor sends after a part was passed on would be known to this process alone, which no longer
+        // starts jobs.
+        let is_state_received = self.handover.receive_deadline.is_none();
+        are_submissions_answered && is_state_received
     }
 
     fn array_after(&self, after: Option<ArrayKey>) -> Option<ArrayKey> {
--- a/crates/submission/tests/upgrade_chains.rs
+++ b/crates/submission/tests/upgrade_chains.rs
@@ -80,6 +80,58 @@
     }
 }
 
+/// Guards against jobs that no process has any more because a process was replaced while it still received them: it
+/// waits for its predecessor's state before it sends its own.
+#[test]
+fn a_process_that_is_replaced_while_it_receives_the_state_passes_all_of_it_on() {
+    const MEMBERS: usize = 6;
+    // The array, its members, a single job and the end.
+    for messages_before in 0..=MEMBERS + 3 {
+        let case = format!("{messages_before} messages before the second upgrade");
+        let mut upgrade = Upgrade::new();
+        let held = json!({"jobCategory": "sheet", "submissionKey": "held", "submitAsHold": true});
+        let held_job = upgrade.serving.submit_job(0, held.clone())["jobId"].clone();
+        upgrade.request(limited_bulk(MEMBERS as u64));
+        let mut first = upgrade.start_successor();
+        exchange(&mut first, &mut upgrade.serving, messages_before);
+        let mut second = upgrade.start_successor();
+        while exchange(&mut second, &mut upgrade.serving, usize::MAX) > 0
+            || exchange(&mut first, &mut second, usize::MAX) > 0
+        {}
+        assert!(first.server.is_handover_complete(), "{case}");
+        assert!(second.server.is_handover_complete(), "{case}");
+        let client = upgrade.client;
+        let joined = upgrade.serving.submit_job(client, held);
+        assert_eq!(joined["jobId"], held_job, "{case}");
+        let answer = upgrade.request(limited_bulk(MEMBERS as u64));
+        let jobs = answer["jobs"].as_array().expect("the jobs of the array");
+        assert!(
+            jobs.iter().all(|job| job["duplicate"] == true),
+            "{case}: {answer}"
+        );
+        // Members that were with no scheduler before the upgrades run at the last process.
+        let sent_before = first.scheduler.open_jobs.len();
+        let request = first
+            .scheduler
+            .open_jobs
+            .keys()
+            .copied()
+            .collect::<Vec<_>>();
+        for request in request {
+            first.send_to_worker(request, true);
+            first.end_request(request, served());
+        }
+        while exchange(&mut second, &mut upgrade.serving, usize::MAX) > 0
+            || exchange(&mut first, &mut second, usize::MAX) > 0
+        {}
+        assert_eq!(
+            serve_all(&mut upgrade.serving),
+            MEMBERS - sent_before,
+            "{case}"
+        );
+    }
+}
+
 /// Guards against a job that its submitter never got and that never runs, but keeps its key until the old process has
 /// ended: it was handed over before the scheduler had accepted it.
 #[test]
