Hand over until when an array rests after a rejection

Callers see: after an upgrade the next member of an array with `maxParallel` is handed on at once, though a rejection asked to wait (submission.md, Arrays). Cause: `Transfer::Array` had no such time, so the new process knew of no pause. Change: an optional field `paused_until`, left out where the array does not rest; older versions neither send nor read it. One line more in a golden file, none changed. Result: the new test of upgrade_chains.rs failed before (a member was started 4 s into a pause of 5 s) and passes.

--- a/crates/submission/src/server/handover/export.rs
+++ b/crates/submission/src/server/handover/export.rs
@@ -95,6 +95,7 @@
             session: session.map(|session| session.name.clone()),
             max_parallel: array.max_parallel,
             is_stopped: array.is_stopped,
+            paused_until: array.paused_until.map(|time| time.0),
         })
     }
 
--- a/crates/submission/src/server/handover/import.rs
+++ b/crates/submission/src/server/handover/import.rs
@@ -54,6 +54,7 @@
                     session,
                     max_parallel,
                     is_stopped,
+                    paused_until,
                 },
                 Partner::Predecessor,
             ) => {
@@ -62,6 +63,7 @@
                 let growth = Growth::Importing;
                 let mut array = JobArray::new(Rc::new(*template), session, max_parallel, growth);
                 array.is_stopped = is_stopped;
+                array.paused_until = paused_until.map(Micros);
                 self.import_array(&id, array);
             }
             (Transfer::Job(record), _) => self.apply_job(now, partner, *record, scheduler),
@@ -98,6 +100,8 @@
 
     fn import_array(&mut self, id: &str, array: JobArray) {
         if let Some(key) = self.ids.parse_or_register(id) {
+            self.paused_arrays
+                .extend(array.paused_until.map(|time| (time, key)));
             self.arrays.insert(key, array);
             self.handover.taken_over.arrays += 1;
         }
--- a/crates/submission/src/transfer.rs
+++ b/crates/submission/src/transfer.rs
@@ -32,6 +32,9 @@
         /// Whether all its members are being terminated.
         #[serde(rename = "stopped")]
         is_stopped: bool,
+        /// No member is passed to a scheduler before this time. Older versions of the program neither send nor read it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        paused_until: Option<u64>,
     },
     /// The current state of a job.
     Job(Box<JobRecord>),
--- a/crates/submission/tests/golden_transfer.rs
+++ b/crates/submission/tests/golden_transfer.rs
@@ -301,6 +301,7 @@
         r#"{"session":{"name":"film","last":9,"events":[["n0-1-0","QUEUED",null],["n0-1-0","FAILED","terminated"]]}}"#,
         r#"{"array":{"id":"n0-1-1","template":{"remoteCommand":"/x"},"session":null,"max_parallel":null,"stopped":false}}"#,
         r#"{"array":{"id":"n0-1-1","template":{"remoteCommand":"/x","queueName":"sheet","unknown":[1]},"session":"film","max_parallel":2,"stopped":true}}"#,
+        r#"{"array":{"id":"n0-1-1","template":{"remoteCommand":"/x"},"session":null,"max_parallel":2,"stopped":false,"paused_until":5}}"#,
         r#"{"job":{}}"#,
         r#"{"job":{"id":"n0-1-2","template":{"remoteCommand":"/x"},"index":-1,"session":"film","array":"n0-1-1","state":"RUNNING","handed":true,"sub_state":"scheduled","problem":{"error":"TRY_LATER","message":"no","retryAfterMs":1,"catalogVersion":2},"result":"AP8=","sent":1,"machine":"w1","submitted":2,"since":3,"started":4,"finished":5,"deadline":6,"window":7,"duplicates":8,"due":9,"reaped":true,"unknown":0}}"#,
         r#""end""#,
--- a/crates/submission/tests/upgrade_chains.rs
+++ b/crates/submission/tests/upgrade_chains.rs
@@ -156,3 +156,33 @@
     assert_eq!(answer["jobs"][0]["duplicate"], false, "{answer}");
     assert_eq!(serve_all(&mut upgrade.serving), 1);
 }
+
+/// Guards against members that are passed to the scheduler before the time that a rejection asked for, because an
+/// upgrade has forgotten it.
+#[test]
+fn an_upgrade_keeps_the_pause_of_an_array() {
+    const RETRY_AFTER_S: u64 = 5;
+    for ends_before_the_pause in [false, true] {
+        let mut upgrade = Upgrade::new();
+        upgrade.request(limited_bulk(4));
+        upgrade.serving.advance(secs(0));
+        let open_jobs = &upgrade.serving.scheduler.open_jobs;
+        let request = *open_jobs.keys().next().expect("two members are there");
+        let rejected = Verdict::Rejected {
+            retry_after: Some(secs(RETRY_AFTER_S)),
+        };
+        upgrade.serving.end_request(request, rejected);
+        let mut old = upgrade.start_successor();
+        exchange(&mut old, &mut upgrade.serving, usize::MAX);
+        upgrade.serving.advance(secs(RETRY_AFTER_S - 1));
+        assert!(upgrade.serving.scheduler.open_jobs.is_empty());
+        if ends_before_the_pause {
+            upgrade.finish(old);
+            upgrade.serving.advance(secs(0));
+            assert!(upgrade.serving.scheduler.open_jobs.is_empty());
+        }
+        upgrade.serving.advance(secs(1));
+        let active = upgrade.serving.scheduler.open_jobs.len();
+        assert_eq!(active, if ends_before_the_pause { 2 } else { 1 });
+    }
+}
