Start no job that a lost successor had, in a process that was told to end

Cause: when the process in the middle ended, the first took over the jobs that waited there (`handle_partner_lost`) and began them as its own running ones ended, though it was ending, and the one in the middle had handed them to the third. Change: a process that shuts down and had begun to hand its state over rejects what it takes back. One that drains and has handed nothing on yet keeps its waiting jobs for the next successor. Why it works: such a process has no submitters any more and was to refuse what waits (submission.md); nothing is told to others. Result: the new test (the one in the middle is lost after each message to the third) failed before (4 members begun at the first, 2 expected) and passes; the one on draining passed before, too.

--- a/crates/submission/src/server/handover/mod.rs
+++ b/crates/submission/src/server/handover/mod.rs
@@ -165,8 +165,10 @@
     }
 
     /// Handles the loss of a partner. This process takes over the jobs that only waited there; the jobs that the
-    /// partner had passed to its scheduler fail as lost, because they may have run.
+    /// partner had passed to its scheduler fail as lost, because they may have run. A process that shuts down rejects
+    /// the jobs that it takes over from a successor: it starts no jobs, and the successor may have handed them on.
     pub fn handle_partner_lost(&mut self, now: Micros, partner: Partner) {
+        let was_sending = self.is_sending_handover();
         match partner {
             Partner::Predecessor => {
                 self.handover.receive_deadline = None;
@@ -178,6 +180,9 @@
         }
         self.handover.changed_for(partner).clear();
         self.take_over_waiting_jobs(partner);
+        if partner == Partner::Successor && was_sending && self.is_shutting_down {
+            self.reject_waiting(now);
+        }
         let lost = JobLocation::AtPartner {
             owner: partner,
             scheduled: true,
--- a/crates/submission/tests/upgrade_chains.rs
+++ b/crates/submission/tests/upgrade_chains.rs
@@ -186,3 +186,111 @@
         assert_eq!(active, if ends_before_the_pause { 2 } else { 1 });
     }
 }
+
+/// Three processes of a node in a row: the first still runs two of six members.
+struct ThreeProcesses {
+    first: Harness,
+    middle: Harness,
+    last: Upgrade,
+    /// The ids of the members.
+    jobs: Vec<Value>,
+}
+
+impl ThreeProcesses {
+    const MEMBERS: u64 = 6;
+
+    /// Starts a second upgrade after the first one is over, and exchanges at most `max_messages` messages of it.
+    fn new(max_messages: usize) -> Self {
+        let mut last = Upgrade::new();
+        let answer = last.request(limited_bulk(Self::MEMBERS));
+        let members = answer["jobs"].as_array().expect("the jobs of the array");
+        let jobs = members.iter().map(|job| job["jobId"].clone()).collect();
+        last.serving.advance(secs(0));
+        let requests: Vec<_> = last.serving.scheduler.open_jobs.keys().copied().collect();
+        for request in requests {
+            last.serving.send_to_worker(request, true);
+        }
+        let mut first = last.start_successor();
+        exchange(&mut first, &mut last.serving, usize::MAX);
+        first.server.begin_shutdown();
+        let mut middle = last.start_successor();
+        exchange(&mut middle, &mut last.serving, max_messages);
+        middle.server.begin_shutdown();
+        ThreeProcesses {
+            first,
+            middle,
+            last,
+            jobs,
+        }
+    }
+
+    fn exchange_all(&mut self) {
+        while exchange(&mut self.first, &mut self.middle, usize::MAX) > 0
+            || exchange(&mut self.middle, &mut self.last.serving, usize::MAX) > 0
+        {}
+        self.last.serving.advance(secs(0));
+    }
+
+    fn end_one_at_the_first(&mut self) {
+        let request = *self
+            .first
+            .scheduler
+            .open_jobs
+            .keys()
+            .next()
+            .expect("it runs a job");
+        self.first.end_request(request, served());
+    }
+}
+
+/// The process in the middle is lost after any message that it exchanges with its successor: no job runs twice.
+#[test]
+fn a_lost_process_in_the_middle_makes_no_job_run_twice() {
+    // The array, its members and the end, and the answer to it.
+    for messages in 0..=ThreeProcesses::MEMBERS as usize + 3 {
+        let mut processes = ThreeProcesses::new(messages);
+        let now = processes.first.now;
+        let first = &mut processes.first;
+        first.server.handle_partner_lost(now, Partner::Successor);
+        processes.end_one_at_the_first();
+        processes.end_one_at_the_first();
+        let first = &mut processes.first;
+        first.advance(secs(1));
+        assert_eq!(
+            first.scheduler.submitted, 2,
+            "{messages} messages: the first starts no further member"
+        );
+        let last = &mut processes.last;
+        last.serving
+            .server
+            .handle_partner_lost(now, Partner::Predecessor);
+        last.serving.run_turn();
+        serve_all(&mut last.serving);
+        let answer = last.request(limited_bulk(ThreeProcesses::MEMBERS));
+        let members = answer["jobs"].as_array().expect("the jobs of the array");
+        let known = members.iter().filter(|job| job["duplicate"] == true);
+        let known: Vec<&Value> = known.map(|job| &job["jobState"]).collect();
+        assert!(
+            known
+                .iter()
+                .all(|state| *state == "DONE" || *state == "FAILED"),
+            "{messages} messages: {answer}"
+        );
+    }
+}
+
+/// A process that drains, and has handed nothing on yet, keeps its waiting jobs for a successor that connects: each new
+/// one counts as the loss of the one before.
+#[test]
+fn a_process_that_shuts_down_keeps_waiting_jobs_for_the_next_successor() {
+    let mut upgrade = Upgrade::new();
+    let held = json!({"jobCategory": "sheet", "submissionKey": "held", "submitAsHold": true});
+    let held_job = upgrade.serving.submit_job(0, held)["jobId"].clone();
+    upgrade.serving.server.begin_shutdown();
+    let now = upgrade.serving.now;
+    let server = &mut upgrade.serving.server;
+    server.handle_partner_lost(now, Partner::Successor);
+    upgrade.upgrade();
+    let client = upgrade.client;
+    assert_eq!(upgrade.serving.job_state(client, &held_job), "QUEUED_HELD");
+}
