Let a process in the middle of two upgrades stay until its predecessor has no jobs left

Cause: the first and the third process have no link to each other. The second ended as soon as it was told to, for it had nothing of its own to finish (`is_finished`, `is_handover_complete`), and the third took the jobs of the first for lost. Change: the submission server knows which jobs are with the scheduler of its predecessor.

--- a/crates/node/src/node/shutdown.rs
+++ b/crates/node/src/node/shutdown.rs
@@ -215,8 +215,12 @@
             || self.services.iter().all(|service| service.is_handed_over())
                 && self.handover.is_flushed(net);
         let may_exit_with_open_connections = deadlines.exit_at <= now;
+        // A predecessor that was told to end before this process has ended by the time of the exit.
+        let must_relay =
+            deadlines.exit_at > now && self.services.iter().any(|service| service.is_relaying());
         let is_sent =
             net.all_clients_closed() || may_exit_with_open_connections && net.is_flushed();
-        self.clients.is_idle() && self.context.core.is_idle() && is_sent && is_handed_over
+        let is_idle = self.clients.is_idle() && self.context.core.is_idle();
+        is_idle && is_sent && is_handed_over && !must_relay
     }
 }
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -105,6 +105,11 @@
         true
     }
 
+    /// Whether the successor learns through this process only what becomes of the predecessor's work.
+    fn is_relaying(&self) -> bool {
+        false
+    }
+
     /// Removes and returns the next message to the service of this name in another process.
     fn next_partner_message(&mut self, _side: Side) -> Option<Value> {
         None
--- a/crates/node/src/submission/mod.rs
+++ b/crates/node/src/submission/mod.rs
@@ -385,6 +385,10 @@
         self.server.is_handover_complete()
     }
 
+    fn is_relaying(&self) -> bool {
+        self.server.is_relaying()
+    }
+
     fn next_partner_message(&mut self, side: handover::Side) -> Option<Value> {
         let transfer = self.server.next_transfer(partner(side))?;
         serde_json::to_value(transfer).ok()
--- a/crates/submission/src/server/handover/import.rs
+++ b/crates/submission/src/server/handover/import.rs
@@ -145,6 +145,9 @@
         let job = imported_job(key, template, session, array, &record);
         let state = job.state;
         self.jobs.insert(job);
+        if record.is_scheduled && !state.is_final() {
+            self.handover.jobs_at_predecessor.insert(key);
+        }
         if record.is_reaped {
             return;
         }
@@ -206,6 +209,9 @@
             if let Some((_, array)) = self.array_mut(array) {
                 array.active.insert(key);
             }
+            if partner == Partner::Predecessor {
+                self.handover.jobs_at_predecessor.insert(key);
+            }
         }
         let change = match record.state {
             JobState::Queued => Change::Release,
--- a/crates/submission/src/server/handover/mod.rs
+++ b/crates/submission/src/server/handover/mod.rs
@@ -54,6 +54,8 @@
     must_confirm: bool,
     /// The progress of sending the state to a successor; `None` if there is no successor.
     progress: Option<SendProgress>,
+    /// Jobs that are with the scheduler of the predecessor.
+    jobs_at_predecessor: BTreeSet<JobKey>,
     /// Jobs whose changes must be sent to the predecessor.
     changed_for_predecessor: BTreeSet<JobKey>,
     /// Jobs whose changes must be sent to the successor.
@@ -84,6 +86,11 @@
         }
     }
 
+    /// Records that a job is no longer with the scheduler of the predecessor.
+    pub(super) fn forget_job_of_predecessor(&mut self, job: JobKey) {
+        self.jobs_at_predecessor.remove(&job);
+    }
+
     /// Queues a job's change for the partners that know the job.
     pub(super) fn queue_change(&mut self, job: Option<&Job>) {
         let Some(job) = job.filter(|job| job.is_shared) else {
@@ -137,15 +144,23 @@
         self.handover.taken_over
     }
 
-    /// Whether the successor, if there is one, has confirmed the state and received all changes.
+    /// Whether the successor, if there is one, has confirmed the state and received all changes, and no more changes
+    /// will come from the predecessor, which has no link to the successor.
     pub fn is_handover_complete(&self) -> bool {
         match self.handover.progress {
             None => true,
-            Some(SendProgress::Confirmed) => self.handover.changed_for_successor.is_empty(),
+            Some(SendProgress::Confirmed) => {
+                self.handover.changed_for_successor.is_empty() && !self.is_relaying()
+            }
             Some(_) => false,
         }
     }
 
+    /// Whether the successor learns of jobs of the predecessor through this process only.
+    pub fn is_relaying(&self) -> bool {
+        self.handover.progress.is_some() && !self.handover.jobs_at_predecessor.is_empty()
+    }
+
     /// The next message for a partner, if there is one.
     pub fn next_transfer(&mut self, partner: Partner) -> Option<Transfer> {
         let is_predecessor = partner == Partner::Predecessor;
@@ -174,6 +189,7 @@
                 self.handover.receive_deadline = None;
                 self.handover.has_predecessor = false;
                 self.handover.must_confirm = false;
+                self.handover.jobs_at_predecessor.clear();
                 self.complete_imported_arrays();
             }
             Partner::Successor => self.handover.progress = None,
--- a/crates/submission/src/server/lifecycle.rs
+++ b/crates/submission/src/server/lifecycle.rs
@@ -88,6 +88,7 @@
     ) {
         let array = self.jobs.get_any(key).and_then(|job| job.array);
         if self.jobs.end(key, change, now, sub_state, outcome) {
+            self.handover.forget_job_of_predecessor(key);
             self.deactivate_member(key, array);
             self.publish_change(key);
         }
--- a/crates/submission/tests/upgrade_chains.rs
+++ b/crates/submission/tests/upgrade_chains.rs
@@ -243,6 +243,41 @@
     }
 }
 
+/// Guards against jobs that end `lost` although they are served, and others that run twice, where a second upgrade
+/// begins while the first process still runs jobs (review/1).
+#[test]
+fn a_process_in_the_middle_stays_until_its_predecessor_has_no_jobs_left() {
+    let mut processes = ThreeProcesses::new(usize::MAX);
+    for _ in 0..2 {
+        processes.exchange_all();
+        assert!(!processes.middle.server.is_handover_complete());
+        processes.end_one_at_the_first();
+    }
+    processes.exchange_all();
+    assert!(processes.middle.server.is_handover_complete());
+    assert!(processes.first.server.is_handover_complete());
+    // The first process may still have connections open when the others have ended or go on alone.
+    let now = processes.first.now;
+    processes
+        .first
+        .server
+        .handle_partner_lost(now, Partner::Successor);
+    processes.first.advance(secs(1));
+    assert!(
+        processes.first.scheduler.open_jobs.is_empty(),
+        "it starts none of what it has handed on"
+    );
+    let last = &mut processes.last;
+    last.serving
+        .server
+        .handle_partner_lost(now, Partner::Predecessor);
+    assert_eq!(serve_all(&mut last.serving), 4);
+    let client = last.client;
+    for job in &processes.jobs {
+        assert_eq!(last.serving.job_state(client, job), "DONE");
+    }
+}
+
 /// The process in the middle is lost after any message that it exchanges with its successor: no job runs twice.
 #[test]
 fn a_lost_process_in_the_middle_makes_no_job_run_twice() {
