Let the model end and lose a process in the middle of two upgrades

Change: any process that was replaced may end once it says that it has nothing left to do, or be lost. One before it goes on alone, must start nothing more, and its jobs count as lost only where the newest process cannot know better.

--- a/crates/submission/tests/model/main.rs
+++ b/crates/submission/tests/model/main.rs
@@ -47,10 +47,10 @@
     Reconnect,
     /// A successor replaces the serving process, which goes on with the jobs that are with its scheduler.
     Upgrade,
-    /// The oldest process ends if it has no jobs left.
-    EndOldest,
-    /// The oldest process is lost with its jobs.
-    LoseOldest,
+    /// A process that was replaced ends if it has nothing left to do.
+    EndReplaced(usize),
+    /// A process that was replaced is lost with its jobs.
+    LoseReplaced(usize),
 }
 
 /// The members of a bulk submission.
@@ -90,8 +90,8 @@
         2 => (1..45u64).prop_map(Step::Advance),
         1 => Just(Step::Reconnect),
         2 => Just(Step::Upgrade),
-        2 => Just(Step::EndOldest),
-        1 => Just(Step::LoseOldest),
+        2 => (0..MAX_PROCESSES).prop_map(Step::EndReplaced),
+        1 => (0..MAX_PROCESSES).prop_map(Step::LoseReplaced),
     ]
 }
 
--- a/crates/submission/tests/model/simulation.rs
+++ b/crates/submission/tests/model/simulation.rs
@@ -129,8 +129,8 @@
             }
             Step::Advance(seconds) => self.advance(seconds),
             Step::Reconnect => self.reconnect(),
-            Step::EndOldest => self.end_oldest(),
-            Step::LoseOldest => self.lose_oldest(now),
+            Step::EndReplaced(process) => self.end_replaced(process),
+            Step::LoseReplaced(process) => self.lose_replaced(now, process),
             Step::Upgrade if self.processes.len() >= MAX_PROCESSES => return,
             Step::Upgrade => self.upgrade(),
         }
