Give the array of a handover a record of its own, and its import a function

Cause: the array was taken apart in the match over all messages, beside the other cases, and the tests' exchange of messages stood twice for its two directions. Change: `Transfer::Array` holds an `ArrayRecord`, as `Transfer::Job` holds a record; `import_array` makes the array from it. The tests have one `send_messages` for both directions. No behaviour, and the form on the wire is the same.

--- a/crates/submission/src/lib.rs
+++ b/crates/submission/src/lib.rs
@@ -23,4 +23,4 @@
 pub use server::Server;
 pub use state::{Change, JobState};
 pub use template::Template;
-pub use transfer::{JobRecord, Transfer, TransferCounts};
+pub use transfer::{ArrayRecord, JobRecord, Transfer, TransferCounts};
--- a/crates/submission/src/server/handover/export.rs
+++ b/crates/submission/src/server/handover/export.rs
@@ -6,7 +6,7 @@
 use crate::jobs::{Job, JobLocation};
 use crate::partner::Partner;
 use crate::sessions::{Session, SessionEvent};
-use crate::transfer::{JobRecord, Transfer};
+use crate::transfer::{ArrayRecord, JobRecord, Transfer};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use std::ops::Bound::{Excluded, Unbounded};
 
@@ -89,14 +89,14 @@
     fn export_array(&self, key: ArrayKey) -> Option<Transfer> {
         let array = self.arrays.get(&key)?;
         let session = array.session.and_then(|session| self.sessions.get(session));
-        Some(Transfer::Array {
+        Some(Transfer::Array(Box::new(ArrayRecord {
             id: self.ids.id(key).to_string(),
-            template: Box::new((*array.template).clone()),
+            template: (*array.template).clone(),
             session: session.map(|session| session.name.clone()),
             max_parallel: array.max_parallel,
             is_stopped: array.is_stopped,
             paused_until: array.paused_until.map(|time| time.0),
-        })
+        })))
     }
 
     fn export_job(&mut self, key: JobKey) -> Option<Transfer> {
--- a/crates/submission/src/server/handover/import.rs
+++ b/crates/submission/src/server/handover/import.rs
@@ -9,7 +9,7 @@
 use crate::sessions::{SessionEvent, SessionKey};
 use crate::state::{Change, JobState, SubState};
 use crate::template::Template;
-use crate::transfer::{JobRecord, Transfer};
+use crate::transfer::{ArrayRecord, JobRecord, Transfer};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use marbledeck_dispatcher::Micros;
 use std::rc::Rc;
@@ -47,25 +47,7 @@
                 },
                 Partner::Predecessor,
             ) => self.import_session(now, &name, last_event, events),
-            (
-                Transfer::Array {
-                    id,
-                    template,
-                    session,
-                    max_parallel,
-                    is_stopped,
-                    paused_until,
-                },
-                Partner::Predecessor,
-            ) => {
-                let session = session.and_then(|name| self.sessions.find(&name));
-                // Its members follow as jobs.
-                let growth = Growth::Importing;
-                let mut array = JobArray::new(Rc::new(*template), session, max_parallel, growth);
-                array.is_stopped = is_stopped;
-                array.paused_until = paused_until.map(Micros);
-                self.import_array(&id, array);
-            }
+            (Transfer::Array(record), Partner::Predecessor) => self.import_array(*record),
             (Transfer::Job(record), _) => self.apply_job(now, partner, *record, scheduler),
             (Transfer::End, Partner::Predecessor) => {
                 self.handover.receive_deadline = None;
@@ -75,10 +57,7 @@
             }
             (Transfer::Taken, Partner::Successor) => self.confirm_handover(),
             // Ignored: only a predecessor sends its state, and only a successor confirms it.
-            (
-                Transfer::Session { .. } | Transfer::Array { .. } | Transfer::End,
-                Partner::Successor,
-            )
+            (Transfer::Session { .. } | Transfer::Array(_) | Transfer::End, Partner::Successor)
             | (Transfer::Taken, Partner::Predecessor) => {}
         }
     }
@@ -98,13 +77,21 @@
         self.handover.taken_over.sessions += usize::from(restored.is_some());
     }
 
-    fn import_array(&mut self, id: &str, array: JobArray) {
-        if let Some(key) = self.ids.parse_or_register(id) {
-            self.paused_arrays
-                .extend(array.paused_until.map(|time| (time, key)));
-            self.arrays.insert(key, array);
-            self.handover.taken_over.arrays += 1;
-        }
+    fn import_array(&mut self, record: ArrayRecord) {
+        let Some(key) = self.ids.parse_or_register(&record.id) else {
+            return;
+        };
+        let session = record.session.as_deref();
+        let session = session.and_then(|name| self.sessions.find(name));
+        let template = Rc::new(record.template);
+        // Its members follow as jobs.
+        let mut array = JobArray::new(template, session, record.max_parallel, Growth::Importing);
+        array.is_stopped = record.is_stopped;
+        array.paused_until = record.paused_until.map(Micros);
+        let pause = array.paused_until.map(|time| (time, key));
+        self.paused_arrays.extend(pause);
+        self.arrays.insert(key, array);
+        self.handover.taken_over.arrays += 1;
     }
 
     fn apply_job(
--- a/crates/submission/src/transfer.rs
+++ b/crates/submission/src/transfer.rs
@@ -20,22 +20,7 @@
         events: Vec<(String, JobState, Option<String>)>,
     },
     /// An array; its members follow as jobs.
-    Array {
-        /// Its id.
-        id: String,
-        /// The template of its members.
-        template: Box<Template>,
-        /// The session of its members.
-        session: Option<String>,
-        /// How many members may be with the scheduler at the same time.
-        max_parallel: Option<u32>,
-        /// Whether all its members are being terminated.
-        #[serde(rename = "stopped")]
-        is_stopped: bool,
-        /// No member is passed to a scheduler before this time. Older versions of the program neither send nor read it.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        paused_until: Option<u64>,
-    },
+    Array(Box<ArrayRecord>),
     /// The current state of a job.
     Job(Box<JobRecord>),
     /// The predecessor has sent everything.
@@ -62,13 +47,31 @@
     pub(crate) fn count(&mut self, message: &Transfer) {
         match message {
             Transfer::Session { .. } => self.sessions += 1,
-            Transfer::Array { .. } => self.arrays += 1,
+            Transfer::Array(_) => self.arrays += 1,
             Transfer::Job(_) => self.jobs += 1,
             Transfer::End | Transfer::Taken => {}
         }
     }
 }
 
+/// An array as the predecessor sends it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ArrayRecord {
+    pub(crate) id: String,
+    /// The template of its members.
+    pub(crate) template: Template,
+    /// The session of its members.
+    pub(crate) session: Option<String>,
+    /// How many members may be with the scheduler at the same time.
+    pub(crate) max_parallel: Option<u32>,
+    /// Whether all its members are being terminated.
+    #[serde(rename = "stopped")]
+    pub(crate) is_stopped: bool,
+    /// No member is passed to a scheduler before this time. Older versions of the program neither send nor read it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) paused_until: Option<u64>,
+}
+
 /// A job as one process sends it to the other.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/submission/tests/common/upgrade.rs
+++ b/crates/submission/tests/common/upgrade.rs
@@ -10,30 +10,36 @@
     let mut exchanged = 0;
     loop {
         let before = exchanged;
-        while exchanged < max_messages {
-            let Some(message) = old.server.next_transfer(Partner::Successor) else {
-                break;
-            };
-            let message = serde_json::from_value(serde_json::to_value(message).unwrap()).unwrap();
-            new.server
-                .handle_transfer(new.now, Partner::Predecessor, message, &mut new.scheduler);
-            exchanged += 1;
-        }
-        while exchanged < max_messages {
-            let Some(message) = new.server.next_transfer(Partner::Predecessor) else {
-                break;
-            };
-            let message = serde_json::from_value(serde_json::to_value(message).unwrap()).unwrap();
-            old.server
-                .handle_transfer(old.now, Partner::Successor, message, &mut old.scheduler);
-            exchanged += 1;
-        }
+        exchanged += send_messages(old, new, Partner::Successor, max_messages - exchanged);
+        exchanged += send_messages(new, old, Partner::Predecessor, max_messages - exchanged);
         if exchanged == before {
             return exchanged;
         }
     }
 }
 
+/// Sends at most `max_messages` messages to a process, which has the role `receiver` for the sender.
+fn send_messages(
+    from: &mut Harness,
+    to: &mut Harness,
+    receiver: Partner,
+    max_messages: usize,
+) -> usize {
+    let sender = match receiver {
+        Partner::Predecessor => Partner::Successor,
+        Partner::Successor => Partner::Predecessor,
+    };
+    for sent in 0..max_messages {
+        let Some(message) = from.server.next_transfer(receiver) else {
+            return sent;
+        };
+        let message = serde_json::from_value(serde_json::to_value(message).unwrap()).unwrap();
+        to.server
+            .handle_transfer(to.now, sender, message, &mut to.scheduler);
+    }
+    max_messages
+}
+
 /// A process with a client, which can be replaced by a successor.
 pub struct Upgrade {
     pub serving: Harness,
