--- a/crates/submission/src/limits.rs
+++ b/crates/submission/src/limits.rs
@@ -32,7 +32,7 @@
     pub bytes: usize,
     /// The number of sessions.
     pub sessions: usize,
-    /// The number of arrays.
+    /// The number of arrays, including those of which only reaped jobs are kept.
     pub arrays: usize,
     /// The number of open waits.
     pub waits: usize,
