Check in the model that only the serving process starts a job

Change: after each step, a job that has come to a scheduler must be with that of the serving process, and one that was there before must still be with the same. Stricter than the old check, which looked only where a job was held or terminated. Test files only. With a planted defect (a replaced process keeps its waiting jobs and starts them) it fails: "process Some(0) has a job that belongs to process 1".

--- a/crates/submission/tests/model/job.rs
+++ b/crates/submission/tests/model/job.rs
@@ -13,6 +13,8 @@
     /// The index of its array in the model's list of arrays.
     pub array: Option<usize>,
     pub state: JobState,
+    /// The process whose scheduler had it at the last look: the number of its start.
+    pub scheduler: Option<usize>,
     /// When it was submitted or last held.
     pub waiting_since: Micros,
     pub sent: Option<Micros>,
@@ -35,6 +37,7 @@
             } else {
                 JobState::Queued
             },
+            scheduler: None,
             waiting_since: now,
             sent: None,
             may_have_run: false,
--- a/crates/submission/tests/model/oracle.rs
+++ b/crates/submission/tests/model/oracle.rs
@@ -32,10 +32,24 @@
                 is_scheduled == model_job.is_runnable() || is_limited && !is_scheduled,
                 "a job must be with a scheduler exactly while it may run, but is {state}"
             );
+            self.compare_scheduler(index);
         }
         (0..self.arrays.len()).for_each(|array| self.compare_array(now, array));
     }
 
+    /// Checks that a job is passed to the scheduler of the serving process only, and stays with it.
+    fn compare_scheduler(&mut self, index: usize) {
+        let first_number = self.started - self.processes.len();
+        let scheduled = self.find_scheduled(index);
+        let scheduler = scheduled.map(|job| first_number + job.process);
+        let before = std::mem::replace(&mut self.jobs[index].scheduler, scheduler);
+        let expected = before.unwrap_or(self.started - 1);
+        assert!(
+            scheduler.is_none_or(|number| number == expected),
+            "process {scheduler:?} has a job that belongs to process {expected}"
+        );
+    }
+
     /// Checks that as many members of an array are with the schedulers as `maxParallel` and its pause allow.
     pub fn compare_array(&mut self, now: Micros, array: usize) {
         let members = (0..self.jobs.len()).filter(|index| self.jobs[*index].array == Some(array));
