Review: end a case by itself after 110 s or on a signal, in any folder

Cause: a case that was given up could have left its threads and processes; a temporary folder with blanks or a long path would have kept a node from its start or from a takeover. Change: an alarm and handlers that end a case with 2 and all that it started; the path of the operator file is quoted for the shell; shorter folders.

--- a/review/lab2.py
+++ b/review/lab2.py
@@ -5,6 +5,7 @@
 import os
 import random
 import re
+import shlex
 import shutil
 import signal
 import socket
@@ -18,6 +19,8 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# A case gives up after this many seconds, so that it ends all that it started within 120 s.
+GIVE_UP_S = 110
 
 
 class CannotRun(Exception):
@@ -386,14 +389,14 @@
     """The `run` command of the deploy file, with the operator file of the case in place of the deployment's."""
     with open(os.path.join(ROOT, "deploy", "balancer.toml"), encoding="utf-8") as deploy:
         command = re.search(r'^run = "(.*)"$', deploy.read(), re.MULTILINE).group(1)
-    return command.replace("deploy/site.toml", site)
+    return command.replace("deploy/site.toml", shlex.quote(site))
 
 
 class Node:
     """A node with its folder and files."""
 
     def __init__(self, lab, name, index, nodes, discovery, operator_file):
-        self.name, self.folder, self.tmp = name, os.path.join(lab.folder, name), os.path.join(lab.folder, name, "tmp")
+        self.name, self.folder, self.tmp = name, os.path.join(lab.folder, name), os.path.join(lab.folder, name, "t")
         os.makedirs(self.tmp)
         self.listen, self.discovery = f"127.0.0.1:{free_port()}", discovery.address
         self.config, self.site = os.path.join(self.folder, "config.json"), os.path.join(self.folder, "site.toml")
@@ -437,7 +440,7 @@
     def __init__(self, case_folder):
         self.record = Record(case_folder)
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.folder, self.nodes = tempfile.mkdtemp(prefix="marbledeck-review-"), []
+        self.folder, self.nodes = tempfile.mkdtemp(prefix="mdr-"), []
 
     def __enter__(self):
         return self
@@ -565,6 +568,12 @@
 
 def main(case, case_folder):
     """Runs a case; its exit code is the verdict."""
+    def give_up(number, _):
+        raise CannotRun(f"ended by signal {number}")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, give_up)
+    signal.alarm(GIVE_UP_S)
     lab = Lab(case_folder)
     code = NOT_RUN
     try:
@@ -575,4 +584,6 @@
             lab.record("the rule was broken:" if problem else "the rule held", problem or "")
     except (CannotRun, OSError, subprocess.SubprocessError) as error:
         lab.record("the case could not run:", repr(error))
-    sys.exit(code)
+    sys.stdout.flush()
+    # Threads of a case that was given up may still wait for an answer.
+    os._exit(code)
