Remember that a worker was told to be gone, against any other source's up

Cause: the word against the worker was kept in the report of the source that told it, and `removed` ends that report (record_missing, drop_report). What was left was the registry's UP. `members` showed `directory says draining` before, and `in; eureka: up` after `removed`.

Related paths, the same cause: a complete list without the worker, a cancel after DOWN at a registry while discovery says up, an outdated list of a registry after all had dropped the worker, the successor of an upgrade. A record of the agreement that names a worker no more, and an instance that stands for another worker, used the same call: they withdraw a report now, which says nothing against the worker.

Change: departures are kept of each source, apart from its reports (departures.rs), at most 8,192, and none in a fleet with a single source. One ends when its source names the worker again, or keep_s after the last source has stopped naming it. An upgrade hands them over as entries with the phase `removed`, which older versions read as before.

--- a/crates/eureka/src/instance_table.rs
+++ b/crates/eureka/src/instance_table.rs
@@ -71,7 +71,7 @@
         let old_worker = old.and_then(|old| old.worker);
         let is_same = |id: &String| entry.report.as_ref().is_some_and(|report| report.id == *id);
         if let Some(id) = old_worker.filter(|id| !is_same(id)) {
-            changes.push(Change::Removed { id, explicit: true });
+            changes.push(Change::Renamed { id });
         }
         let reported = entry
             .report
--- a/crates/eureka/src/poll.rs
+++ b/crates/eureka/src/poll.rs
@@ -76,6 +76,11 @@
         /// Whether the worker has left on purpose. Otherwise, its lease may have expired while it still runs.
         explicit: bool,
     },
+    /// The instance that stood for a worker stands for another one now. This says nothing against the first worker.
+    Renamed {
+        /// The id of the worker that the instance stood for.
+        id: String,
+    },
 }
 
 /// The number of workers of a full list that are collected into one [`Change::ListPart`].
--- a/crates/eureka/tests/golden.rs
+++ b/crates/eureka/tests/golden.rs
@@ -364,6 +364,7 @@
                 Change::ListEnd => "list ends".to_owned(),
                 Change::Reported(report) => format!("reported: {}", describe_report(&report)),
                 Change::Removed { id, explicit } => format!("removed: {id}, explicit {explicit}"),
+                Change::Renamed { id } => format!("renamed: {id}"),
             };
             let _ = writeln!(self.text, "  {description}");
         }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod address_claims;
 mod change;
+mod departures;
 mod membership;
 mod precedence;
 mod publish;
--- a/crates/membership/src/precedence.rs
+++ b/crates/membership/src/precedence.rs
@@ -3,6 +3,7 @@
 use crate::source::SourceRecord;
 use crate::{Membership, SourceId, Status};
 use marbledeck_dispatcher::{CellId, Micros, WorkerId};
+use marbledeck_platform_settings::worker_id;
 use smallvec::SmallVec;
 use std::cmp::Reverse;
 use std::fmt;
@@ -27,6 +28,8 @@
     ByOperator,
     /// A source reports a status other than up.
     Reported { source: &'a str, status: Status },
+    /// A source has told the worker to be gone.
+    Departed { source: &'a str },
     /// A source's list is too old to route requests by.
     ListTooOld { source: &'a str },
     /// No source gives a usable address.
@@ -40,6 +43,7 @@
         match self {
             OutReason::ByOperator => f.write_str("out by hand"),
             OutReason::Reported { source, status } => write!(f, "{source} says {status}"),
+            OutReason::Departed { source } => write!(f, "{source} says removed"),
             OutReason::ListTooOld { source } => write!(f, "{source}'s list is too old"),
             OutReason::NoAddress => f.write_str("it has no address"),
             OutReason::AddressTaken { owner } => write!(f, "{owner} has its address"),
@@ -90,6 +94,10 @@
             let status = record.report.status;
             return Some(OutReason::Reported { source, status });
         }
+        if let Some(source) = self.departed_by(worker_id(id)) {
+            let source = &self.sources[source.0].name;
+            return Some(OutReason::Departed { source });
+        }
         let mut sources = records
             .iter()
             .map(|(source, record)| (&self.sources[source.0], record));
--- a/crates/membership/src/reports.rs
+++ b/crates/membership/src/reports.rs
@@ -45,6 +45,14 @@
         change
     }
 
+    /// Withdraws a source's report on a worker: the source has nothing to say on it any more, neither for nor against.
+    pub fn withdraw_report(&mut self, now: Micros, source: SourceId, id: &str) -> MembershipChange {
+        let mut change = MembershipChange::default();
+        self.record_contact(now, source);
+        self.drop_report(now, source, id, &mut change);
+        change
+    }
+
     /// Applies a source's complete list. Returns only what has changed.
     pub fn apply_full_list(
         &mut self,
@@ -242,6 +250,7 @@
             digest,
         };
         source_state.records.insert(record);
+        self.record_arrival(now, source, worker_id(&id));
         self.recompute(&id, change);
         self.recompute_owners(&id, owners, change);
     }
@@ -255,20 +264,40 @@
         explicit: bool,
         change: &mut MembershipChange,
     ) {
-        let is_protected = self.sources[source.0].self_preservation.is_some();
-        let Some(record) = self.sources[source.0].records.get(id) else {
-            return;
-        };
+        let source_state = &self.sources[source.0];
+        let is_protected = source_state.self_preservation.is_some();
+        let record = source_state.records.get(id);
+        let status = record.map(|record| record.report.status);
+        if explicit || status.is_some() && !is_protected {
+            return self.record_gone(now, source, id, change);
+        }
         // A worker that gets no requests anyway needs no protection.
-        if explicit || !is_protected || record.report.status != Status::Up {
-            return self.drop_report(source, id, change);
+        if status.is_some_and(|status| status != Status::Up) {
+            return self.drop_report(now, source, id, change);
         }
         self.suspect_missing(now, source, id);
     }
 
+    /// Removes a source's report on a worker that the source has told to be gone, and remembers that it was told.
+    fn record_gone(
+        &mut self,
+        now: Micros,
+        source: SourceId,
+        id: &str,
+        change: &mut MembershipChange,
+    ) {
+        self.record_departure(now, source, id);
+        if self.sources[source.0].records.contains(id) {
+            self.drop_report(now, source, id, change);
+        } else {
+            self.recompute(id, change);
+        }
+    }
+
     /// Removes a source's report on a worker.
     pub(crate) fn drop_report(
         &mut self,
+        now: Micros,
         source: SourceId,
         id: &str,
         change: &mut MembershipChange,
@@ -278,6 +307,7 @@
             return;
         };
         source_state.replace_digest(worker_id(id), record.digest, None);
+        self.record_unnamed(now, worker_id(id));
         let mut owners = OwnerChange::default();
         if let Some(address) = record.report.address {
             let id = id.to_owned();
--- a/crates/membership/src/self_preservation.rs
+++ b/crates/membership/src/self_preservation.rs
@@ -172,7 +172,7 @@
         };
         for position in 0..self.sources.len() {
             if self.apply_evidence(position, &id, evidence) {
-                self.drop_report(SourceId(position), &id, &mut change);
+                self.drop_report(now, SourceId(position), &id, &mut change);
             }
         }
         change
@@ -230,7 +230,7 @@
         };
         let retained_until = suspicion.since + policy.retention;
         if suspicion.is_missing && now >= retained_until {
-            return self.drop_report(source, &check.id, change);
+            return self.drop_report(now, source, &check.id, change);
         }
         let last_probed_at = match self.probe_suspected(now, source, &policy, &check.id) {
             ProbeDecision::OverBudget => check.last_probed_at,
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -1,5 +1,6 @@
 //! The sources of workers and their reports.
 
+use crate::departures::Departures;
 use crate::record_table::RecordTable;
 use crate::self_preservation::{ProbeWindow, SelfPreservation, Suspicion};
 use crate::SourceReport;
@@ -47,6 +48,8 @@
     pub name: String,
     pub self_preservation: Option<SelfPreservation>,
     pub records: RecordTable,
+    /// The workers that it has told to be gone.
+    pub departures: Departures,
     /// Whether the time without contact exceeds the `silence_timeout` of its self-preservation.
     pub is_silent: bool,
     /// When it becomes silent without further contact.
@@ -68,6 +71,7 @@
             name: name.to_owned(),
             self_preservation,
             records: RecordTable::default(),
+            departures: Departures::default(),
             is_silent: false,
             silent_at: None,
             probe_window: ProbeWindow::default(),
--- a/crates/membership/tests/invariants.rs
+++ b/crates/membership/tests/invariants.rs
@@ -40,6 +40,8 @@
     /// The directory reports the worker as draining or up.
     DirectoryDrains(usize),
     DirectoryUp(usize),
+    /// The directory reports that the worker has left.
+    DirectoryRemoves(usize),
     /// An operator takes the worker out of service or back.
     SetDown(usize),
     SetUp(usize),
@@ -62,6 +64,7 @@
         Up(0),
         DirectoryDrains(0),
         DirectoryUp(0),
+        DirectoryRemoves(0),
         SetDown(0),
         SetUp(0),
         Alive(0),
@@ -82,6 +85,9 @@
     /// Which workers are taken out by an operator, drained by the directory, or out of service at the registry.
     out_by_operator: [bool; 3],
     drained_by_directory: [bool; 3],
+    gone_at_directory: [bool; 3],
+    /// When the directory last told the worker to be gone, or the registry last named it after that.
+    gone_since: [Micros; 3],
     out_at_registry: [bool; 3],
     /// The number of consecutive failures of each worker.
     failures: [u32; 3],
@@ -104,6 +110,8 @@
             published: BTreeMap::new(),
             out_by_operator: [false; 3],
             drained_by_directory: [false; 3],
+            gone_at_directory: [false; 3],
+            gone_since: [Micros(0); 3],
             out_at_registry: [false; 3],
             failures: [0; 3],
             missing_since: [None; 3],
@@ -146,14 +154,22 @@
             Step::Up(index) => self.apply_registry_report(index, Status::Up),
             Step::DirectoryDrains(index) => {
                 self.drained_by_directory[index] = true;
+                self.gone_at_directory[index] = false;
                 let report = report(index, Status::Draining);
                 self.members.apply_report(now, directory, report)
             }
             Step::DirectoryUp(index) => {
                 self.drained_by_directory[index] = false;
+                self.gone_at_directory[index] = false;
                 let report = report(index, Status::Up);
                 self.members.apply_report(now, directory, report)
             }
+            Step::DirectoryRemoves(index) => {
+                self.drained_by_directory[index] = false;
+                self.gone_at_directory[index] = true;
+                self.gone_since[index] = now;
+                self.members.remove_worker(now, directory, IDS[index], true)
+            }
             Step::SetDown(index) | Step::SetUp(index) => {
                 self.out_by_operator[index] = matches!(step, Step::SetDown(_));
                 self.members
@@ -210,6 +226,11 @@
         }
     }
 
+    /// Whether the directory has told the worker to be gone, and not so long ago that this no longer counts.
+    fn is_gone_at_directory(&self, index: usize) -> bool {
+        self.gone_at_directory[index] && self.now < self.gone_since[index] + policy().retention
+    }
+
     fn check(
         &mut self,
         step: Step,
@@ -234,6 +255,7 @@
             if is_ready
                 && (self.out_by_operator[index]
                     || self.drained_by_directory[index]
+                    || self.is_gone_at_directory(index)
                     || self.out_at_registry[index])
             {
                 return Err(format!(
@@ -251,6 +273,9 @@
             if is_reported && is_overdue && !listed_at_directory {
                 return Err(format!("{id} is kept for too long"));
             }
+            if is_reported {
+                self.gone_since[index] = self.now;
+            }
             // A ready worker stays ready without a report against it, too many failures, or the end of the retention.
             let was_ready = before.get(id) == Some(&WorkerState::Ready);
             let unreachable = self.failures[index] >= policy().max_failures;
@@ -258,6 +283,7 @@
                 .is_some_and(|since| since + policy().retention <= self.now);
             let has_report_against = self.out_by_operator[index]
                 || self.drained_by_directory[index]
+                || self.is_gone_at_directory(index)
                 || self.out_at_registry[index]
                 || !self.listed_at_registry[index];
             let has_reason = has_report_against || unreachable || retention_ended;
@@ -300,7 +326,7 @@
     }
 }
 
-/// Guards against a sequence of five steps, of which there are 15^5, that breaks an invariant.
+/// Guards against a sequence of five steps, of which there are 16^5, that breaks an invariant.
 #[test]
 fn every_sequence_of_five_steps_keeps_the_invariants() {
     let steps = steps();
--- a/crates/membership/tests/precedence_and_self_preservation.rs
+++ b/crates/membership/tests/precedence_and_self_preservation.rs
@@ -274,6 +274,99 @@
     );
 }
 
+/// A directory and a registry that both report the workers w1 and w2 as up.
+fn with_directory_and_registry() -> (Membership, SourceId, SourceId) {
+    let mut members = Membership::new(Vec::new(), Vec::new());
+    let directory = members.add_source("directory", None);
+    let registry = members.add_source("registry", Some(SelfPreservation::default()));
+    for source in [directory, registry] {
+        members.apply_full_list(secs(0), source, vec![up("w1", 8001), up("w2", 8002)]);
+    }
+    (members, directory, registry)
+}
+
+fn current_state(members: &Membership, id: &str) -> WorkerState {
+    let entry = members.entry(id);
+    entry.map_or(WorkerState::Removed, |entry| entry.state)
+}
+
+/// Guards against work for a worker that one source has told to be gone while another still reports it as up: with
+/// either order of the sources, a change or a complete list without it, and lists of the other source that come later.
+#[test]
+fn a_worker_told_to_be_gone_gets_nothing_by_another_sources_up() {
+    for by_list in [false, true] {
+        let (mut members, directory, registry) = with_directory_and_registry();
+        let drain = SourceReport {
+            status: Status::Draining,
+            ..up("w2", 8002)
+        };
+        members.apply_report(secs(1), directory, drain);
+        let change = if by_list {
+            members.apply_full_list(secs(2), directory, vec![up("w1", 8001)])
+        } else {
+            members.remove_worker(secs(2), directory, "w2", true)
+        };
+        assert_eq!(state(&change, "w2"), None, "it stays out");
+        for second in 3..400 {
+            members.apply_full_list(secs(second), registry, vec![up("w1", 8001), up("w2", 8002)]);
+            assert_eq!(current_state(&members, "w2"), WorkerState::Draining);
+        }
+        assert_eq!(members.view(secs(9), "w2").reason, "directory says removed");
+        let change = members.apply_report(secs(400), directory, up("w2", 8002));
+        assert_eq!(state(&change, "w2"), Some(WorkerState::Ready));
+    }
+    let (mut members, directory, registry) = with_directory_and_registry();
+    members.remove_worker(secs(1), registry, "w2", true);
+    members.apply_full_list(secs(2), directory, vec![up("w1", 8001), up("w2", 8002)]);
+    assert_eq!(current_state(&members, "w2"), WorkerState::Draining);
+    members.apply_report(secs(3), registry, up("w2", 8002));
+    assert_eq!(current_state(&members, "w2"), WorkerState::Ready);
+}
+
+/// Guards against an outdated list that brings a worker back after all sources have stopped naming it, and against a
+/// departure that counts for ever.
+#[test]
+fn a_departure_counts_until_no_source_has_named_the_worker_for_the_retention() {
+    let retention = SelfPreservation::default().retention;
+    for (later, expected) in [
+        (secs(10), WorkerState::Draining),
+        (retention, WorkerState::Ready),
+    ] {
+        let (mut members, directory, registry) = with_directory_and_registry();
+        members.remove_worker(secs(1), directory, "w2", true);
+        members.remove_worker(secs(5), registry, "w2", true);
+        assert_eq!(current_state(&members, "w2"), WorkerState::Removed);
+        members.apply_report(secs(5) + later, registry, up("w2", 8002));
+        assert_eq!(current_state(&members, "w2"), expected);
+    }
+}
+
+/// Guards against a source whose end of a word against a worker is taken for one that the worker is gone.
+#[test]
+fn a_withdrawn_report_says_nothing_against_the_worker() {
+    let (mut members, ..) = with_directory_and_registry();
+    let agreement = members.add_source("agreement", None);
+    let out = SourceReport {
+        status: Status::OutOfService,
+        ..SourceReport::new("w2", "", Status::Up)
+    };
+    members.apply_report(secs(1), agreement, out);
+    assert_eq!(current_state(&members, "w2"), WorkerState::Draining);
+    let change = members.withdraw_report(secs(2), agreement, "w2");
+    assert_eq!(state(&change, "w2"), Some(WorkerState::Ready));
+}
+
+/// Guards against memory that grows with every departure.
+#[test]
+fn only_the_latest_departures_are_remembered() {
+    let (mut members, directory, _) = with_directory_and_registry();
+    for number in 0..20_000 {
+        members.remove_worker(secs(1), directory, &format!("x{number}"), true);
+    }
+    assert_eq!(members.departed(directory).count(), 8192);
+    assert_eq!(members.departed(directory).last(), Some("x19999"));
+}
+
 /// If two workers have the same address, that of the earlier source gets the requests. The other takes over when it
 /// leaves.
 #[test]
--- a/crates/node/src/consensus/applied.rs
+++ b/crates/node/src/consensus/applied.rs
@@ -140,7 +140,7 @@
             change.append(members.apply_report(now, source, report));
         }
         for id in self.out_of_service.difference(&listed) {
-            change.append(members.remove_worker(now, source, id, true));
+            change.append(members.withdraw_report(now, source, id));
         }
         self.out_of_service = listed;
         context.fleet.apply_change(now, change, &mut context.core);
--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -3,7 +3,7 @@
 use super::MAX_WORKERS;
 use crate::clock::Clock;
 use marbledeck_dispatcher::CellId;
-use marbledeck_membership::{ListedReport, Membership, SourceReport, Status};
+use marbledeck_membership::{ListedReport, Membership, SourceId, SourceReport, Status};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -89,6 +89,21 @@
     }
 }
 
+impl EndpointEntry {
+    /// An entry that says that the worker with this id has left the list.
+    pub fn removed(id: &str) -> Self {
+        EndpointEntry {
+            id: id.to_owned(),
+            address: String::new(),
+            zone: String::new(),
+            kind: String::new(),
+            cell: None,
+            phase: REMOVED.to_owned(),
+            up_since_ms: 0,
+        }
+    }
+}
+
 impl From<&SourceReport> for EndpointEntry {
     fn from(report: &SourceReport) -> Self {
         let address = report.address.map(|address| address.to_string());
@@ -111,21 +126,34 @@
     }
 }
 
-/// Converts entries to reports.
+/// Converts the entries of listed workers to reports.
 pub fn to_reports(entries: &[EndpointEntry]) -> Vec<SourceReport> {
-    let reports = entries.iter().map(|entry| entry.report().to_report());
-    reports.collect()
+    let listed = entries.iter().filter(|entry| !entry.is_removed());
+    listed.map(|entry| entry.report().to_report()).collect()
+}
+
+/// The ids of the workers that have left the list.
+pub fn removed_ids(entries: &[EndpointEntry]) -> impl Iterator<Item = &str> {
+    let removed = entries.iter().filter(|entry| entry.is_removed());
+    removed.map(|entry| entry.id.as_str()).take(MAX_WORKERS)
+}
+
+/// The entries of the workers that a source reports, and then of those that it has told to be gone.
+pub fn entries_of_source(members: &Membership, source: SourceId) -> Vec<EndpointEntry> {
+    let reports = members.reports(source).take(MAX_WORKERS);
+    let listed = reports.map(EndpointEntry::from);
+    let removed = members.departed(source).map(EndpointEntry::removed);
+    listed.chain(removed).collect()
 }
 
-/// The reports of all sources except discovery and the static workers, by source name, for a successor process.
+/// The entries of all sources except discovery and the static workers, by source name, for a successor process.
 pub fn entries_of_other_sources(members: &Membership) -> BTreeMap<String, Vec<EndpointEntry>> {
     let mut entries = BTreeMap::new();
     for (source, name) in members.source_names() {
         if SOURCES_NOT_HANDED_OVER.contains(&name) {
             continue;
         }
-        let reports = members.reports(source).take(MAX_WORKERS);
-        entries.insert(name.to_owned(), reports.map(EndpointEntry::from).collect());
+        entries.insert(name.to_owned(), entries_of_source(members, source));
     }
     entries
 }
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -8,7 +8,9 @@
 mod list_update;
 mod staleness;
 
-pub use endpoint_list::{entries_of_other_sources, to_reports, EndpointEntry, EndpointList};
+pub use endpoint_list::{
+    entries_of_other_sources, removed_ids, to_reports, EndpointEntry, EndpointList,
+};
 pub use list_reader::{ListError, ListHeader, ListReader};
 pub use list_trust::ListTrust;
 pub use list_update::MAX_WORKERS;
@@ -116,7 +118,6 @@
         } else {
             self.revision
         };
-        let endpoints = members.reports(self.source).map(EndpointEntry::from);
         let mut notified_at = self.staleness.notified_at_for_successor();
         if self.trust.is_behind() {
             // Changes that discovery has written already count as notified, even if this process has not read them.
@@ -127,7 +128,7 @@
             list: EndpointList {
                 revision,
                 complete: true,
-                endpoints: endpoints.collect(),
+                endpoints: endpoint_list::entries_of_source(members, self.source),
             },
             notified_in_us: notified_at.map(|notified_at| (notified_at - now).0),
         }
@@ -155,10 +156,13 @@
         self.revision = list.revision;
         fleet.members.begin_full_list(self.source);
         let mut update = self.new_update(now, fleet);
-        for entry in list.endpoints.iter().take(MAX_WORKERS) {
+        let listed = list.endpoints.iter().filter(|entry| !entry.is_removed());
+        for entry in listed.take(MAX_WORKERS) {
             update.apply_entry(entry, None);
         }
-        let change = update.change;
+        let mut change = update.change;
+        let departed = endpoint_list::removed_ids(&list.endpoints);
+        change.append(fleet.members.restore_departed(now, self.source, departed));
         fleet.apply_change(now, change, core);
     }
 
--- a/crates/node/src/eureka/mod.rs
+++ b/crates/node/src/eureka/mod.rs
@@ -267,6 +267,9 @@
                 Change::Removed { id, explicit } => {
                     update.append(members.remove_worker(now, self.source, &id, explicit));
                 }
+                Change::Renamed { id } => {
+                    update.append(members.withdraw_report(now, self.source, &id));
+                }
             }
         }
         update
--- a/crates/node/src/node/builder.rs
+++ b/crates/node/src/node/builder.rs
@@ -282,7 +282,9 @@
         for (name, list) in std::mem::take(&mut self.takeover.state.sources) {
             if let Some(source) = fleet.members.source(&name) {
                 let reports = discovery::to_reports(&list);
-                let change = fleet.members.apply_full_list(now, source, reports);
+                let mut change = fleet.members.apply_full_list(now, source, reports);
+                let departed = discovery::removed_ids(&list);
+                change.append(fleet.members.restore_departed(now, source, departed));
                 fleet.apply_change(now, change, core);
             }
         }
--- a/crates/node/tests/eureka.rs
+++ b/crates/node/tests/eureka.rs
@@ -47,6 +47,10 @@
     line.is_some_and(|line| line.contains(" in ") && line.contains("kept while it answers"))
 }
 
+fn says_removed(line: Option<&str>) -> bool {
+    line.is_some_and(|line| line.contains("directory says removed"))
+}
+
 fn run_job(environment: &TestEnvironment, target: &str) -> bool {
     let mut command = Command::new(env!("CARGO_BIN_EXE_marbledeck"));
     command.args([
@@ -234,6 +238,34 @@
     environment.wait_for_member("w1", is_out);
 }
 
+/// Guards against jobs for a worker that discovery has told to be gone while the registry's lease of it runs on: in the
+/// process that was told, and in its successor.
+#[test]
+fn a_worker_that_discovery_removes_gets_no_job_while_the_registry_names_it() {
+    let registry = EurekaStub::start();
+    let mut environment = start_environment(&[&registry], "");
+    let address = environment.workers[1].address;
+    let discovery = environment.discovery.clone();
+    discovery.set_worker("w2", address, "up");
+    environment.wait_for_member("w2", |line| {
+        line.is_some_and(|line| line.contains("directory: up") && line.contains("eureka: up"))
+    });
+    discovery.set_worker("w2", address, "draining");
+    environment.wait_for_member("w2", is_out);
+    discovery.set_worker("w2", address, "removed");
+    environment.wait_for_member("w2", says_removed);
+    environment.start_successor();
+    environment.signal(0, "-TERM");
+    assert!(environment.exits_cleanly(0));
+    environment.wait_for_member("w2", says_removed);
+    for n in 0..20 {
+        assert!(run_job(&environment, &format!("/{n}")));
+    }
+    assert!(environment.workers[1].started_jobs().is_empty());
+    discovery.set_worker("w2", address, "up");
+    environment.wait_for_member("w2", is_in);
+}
+
 /// During an upgrade while the registry is silent, the new process takes over the workers of the old one and their
 /// `set-down` state.
 #[test]
