Keep a registry's word against a worker that its list has lost

Failures do not end it earlier. The oracle of invariants.rs counted the word as ended with the empty list; it wants it for the whole retention now, which is stricter.

--- a/crates/membership/src/reports.rs
+++ b/crates/membership/src/reports.rs
@@ -271,8 +271,12 @@
         if explicit || status.is_some() && !is_protected {
             return self.record_gone(now, source, id, change);
         }
-        // A worker that gets no requests anyway needs no protection.
-        if status.is_some_and(|status| status != Status::Up) {
+        // A worker that gets no requests anyway needs no protection. If another source reports it, the word against it
+        // has to count on: the list may only have lost it.
+        let mut records = self.records(worker_id(id));
+        let is_reported_elsewhere = records.any(|(other, _)| other != source);
+        drop(records);
+        if status.is_some_and(|status| status != Status::Up) && !is_reported_elsewhere {
             return self.drop_report(now, source, id, change);
         }
         self.suspect_missing(now, source, id);
--- a/crates/membership/src/self_preservation.rs
+++ b/crates/membership/src/self_preservation.rs
@@ -1,7 +1,7 @@
 //! Self-preservation: a worker that its source no longer lists, or whose source is silent, is only suspected. It is
 //! removed once it fails to answer, or after a long time without being listed.
 
-use crate::{Membership, MembershipChange, SourceId};
+use crate::{Membership, MembershipChange, SourceId, Status};
 use marbledeck_dispatcher::{Micros, WorkerId};
 use marbledeck_platform_settings::worker_id;
 
@@ -115,7 +115,7 @@
 }
 
 impl Membership {
-    /// Suspects a worker that its source had reported as up and no longer lists.
+    /// Suspects a worker that its source had reported and no longer lists.
     pub(crate) fn suspect_missing(&mut self, now: Micros, source: SourceId, id: &str) {
         let Some(record) = self.sources[source.0].records.get_mut(id) else {
             return;
@@ -184,7 +184,9 @@
         let Some(policy) = &source.self_preservation else {
             return false;
         };
+        // A word against a worker is not ended by failures: it would get requests by another source's report.
         let record = source.records.get_mut(id);
+        let record = record.filter(|record| record.report.status == Status::Up);
         let Some(suspicion) = record.and_then(|record| record.suspicion.as_mut()) else {
             return false;
         };
--- a/crates/membership/tests/invariants.rs
+++ b/crates/membership/tests/invariants.rs
@@ -216,7 +216,7 @@
 
     fn expect_omitted(&mut self, index: usize) {
         if self.listed_at_registry[index] && self.missing_since[index].is_none() {
-            if self.out_at_registry[index] {
+            if self.out_at_registry[index] && !self.is_listed_at_directory(index) {
                 // It gets no requests anyway, so it is removed at once.
                 (self.out_at_registry[index], self.listed_at_registry[index]) = (false, false);
             } else {
@@ -231,6 +231,18 @@
         self.gone_at_directory[index] && self.now < self.gone_since[index] + policy().retention
     }
 
+    fn is_listed_at_directory(&self, index: usize) -> bool {
+        let mut reports = self.members.reports(self.directory);
+        reports.any(|report| report.id == IDS[index])
+    }
+
+    /// Whether the registry has taken the worker out of service, and has not left it unnamed for the whole retention.
+    fn is_out_at_registry(&self, index: usize) -> bool {
+        let retained =
+            self.missing_since[index].is_none_or(|since| self.now < since + policy().retention);
+        self.out_at_registry[index] && retained
+    }
+
     fn check(
         &mut self,
         step: Step,
@@ -256,7 +268,7 @@
                 && (self.out_by_operator[index]
                     || self.drained_by_directory[index]
                     || self.is_gone_at_directory(index)
-                    || self.out_at_registry[index])
+                    || self.is_out_at_registry(index))
             {
                 return Err(format!(
                     "{id} is ready although it is drained or out of service"
@@ -266,11 +278,7 @@
             let is_reported = self.members.report(id).is_some();
             let is_overdue = self.missing_since[index]
                 .is_some_and(|since| since + policy().retention + SECOND < self.now);
-            let listed_at_directory = self
-                .members
-                .reports(self.directory)
-                .any(|report| report.id == id);
-            if is_reported && is_overdue && !listed_at_directory {
+            if is_reported && is_overdue && !self.is_listed_at_directory(index) {
                 return Err(format!("{id} is kept for too long"));
             }
             if is_reported {
--- a/crates/membership/tests/precedence_and_self_preservation.rs
+++ b/crates/membership/tests/precedence_and_self_preservation.rs
@@ -323,6 +323,28 @@
     assert_eq!(current_state(&members, "w2"), WorkerState::Ready);
 }
 
+/// Guards against a registry's empty list that brings a worker back in which the registry has taken out of service, by
+/// the report of another source. The word ends with the retention, and not by failures of the worker.
+#[test]
+fn a_registry_that_loses_a_drained_worker_does_not_bring_it_back() {
+    let (mut members, _, registry) = with_directory_and_registry();
+    let out = SourceReport {
+        status: Status::OutOfService,
+        ..up("w2", 8002)
+    };
+    members.apply_report(secs(1), registry, out);
+    members.apply_full_list(secs(2), registry, Vec::new());
+    let retention = SelfPreservation::default().retention;
+    for second in 2..2 + retention.0 / 1_000_000 {
+        members.wake(secs(second));
+        members.take_due_probes();
+        members.record_evidence(secs(second), worker_id("w2"), HealthEvidence::Unreachable);
+        assert_eq!(current_state(&members, "w2"), WorkerState::Draining);
+    }
+    let change = members.wake(secs(2) + retention);
+    assert_eq!(state(&change, "w2"), Some(WorkerState::Ready));
+}
+
 /// Guards against an outdated list that brings a worker back after all sources have stopped naming it, and against a
 /// departure that counts for ever.
 #[test]
