Keep one deadline a connection instead of one for each request of 2.5 s

Cause: Clients::deadlines got an entry with the first byte of each request, and only time removed it, 2.5 s later, also where the request was complete at once: 24 bytes for each of over a million requests a second, doubled as the queue grew.

Change: the deadline belongs to the connection, and is removed when the request is complete or the connection ends.

--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -83,8 +83,10 @@
     accepted: Micros,
     /// Its position in the eviction order; none while its request is waiting for an answer.
     pub eviction: Option<EvictionKey>,
-    /// The number of its current request, which shows that a deadline of an earlier request is outdated.
-    pub request_number: u64,
+    /// How many requests it has sent completely.
+    pub request_count: u64,
+    /// When its current request must have arrived completely; none while no request is arriving.
+    pub request_deadline: Option<Micros>,
     /// The bytes reserved from the budget for large bodies while its body is read.
     pub reserved_bytes: usize,
 }
@@ -96,14 +98,15 @@
             stage: Stage::Idle,
             accepted,
             eviction: None,
-            request_number: 0,
+            request_count: 0,
+            request_deadline: None,
             reserved_bytes: 0,
         }
     }
 
     /// Whether its first request may still be on its way.
     pub fn is_new(&self, now: Micros) -> bool {
-        self.request_number == 0 && now < self.accepted + NEW_CONNECTION_PERIOD
+        self.request_count == 0 && now < self.accepted + NEW_CONNECTION_PERIOD
     }
 
     /// Whether its request is waiting for an answer.
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -5,6 +5,8 @@
 mod reply;
 mod request_parser;
 mod requests;
+#[cfg(test)]
+mod tests;
 
 use crate::clock::millis;
 use crate::net::{Acceptor, Net, Peer, Token};
@@ -12,7 +14,7 @@
 use marbledeck_dispatcher::{Micros, RequestId};
 use reply::Notice;
 use rustix::fd::OwnedFd;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
 
@@ -24,14 +26,6 @@
 /// send each request at once; one that sends nothing or only a part of a request must not hold a descriptor.
 const REQUEST_TIMEOUT: Micros = millis(2_500);
 
-/// The time by which a request must have arrived completely.
-struct RequestDeadline {
-    at: Micros,
-    token: Token,
-    /// The number of the request on its connection.
-    request_number: u64,
-}
-
 /// The connections of all clients.
 pub struct Clients {
     /// The listener.
@@ -46,8 +40,8 @@
     evictable: BTreeMap<EvictionKey, Token>,
     /// The last sequence number used in [`Clients::evictable`].
     eviction_sequence: u64,
-    /// The deadlines of requests that have not arrived completely, the earliest first.
-    deadlines: VecDeque<RequestDeadline>,
+    /// The deadlines of the requests that have not arrived completely, at most one of each connection.
+    deadlines: BTreeSet<(Micros, Token)>,
     /// The maximum total size of large bodies in bytes.
     pub body_budget: usize,
     /// The part of the budget that is reserved for large bodies that have not arrived completely.
@@ -77,7 +71,7 @@
             awaiting_answer: HashMap::new(),
             evictable: BTreeMap::new(),
             eviction_sequence: 0,
-            deadlines: VecDeque::new(),
+            deadlines: BTreeSet::new(),
             body_budget,
             reserved_bytes: 0,
             draining: false,
@@ -86,7 +80,7 @@
 
     /// When to call [`Clients::wake`] next.
     pub fn next_wake(&self) -> Option<Micros> {
-        let deadline = self.deadlines.front().map(|deadline| deadline.at);
+        let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
         let wakes = [self.acceptor.next_wake(), deadline];
         wakes.into_iter().flatten().min()
     }
@@ -94,24 +88,25 @@
     /// Resumes a paused listener if it is due, and closes connections whose request takes too long to arrive.
     pub fn wake(&mut self, now: Micros, net: &mut Net) {
         self.acceptor.wake(now, net);
-        while let Some(deadline) = self.deadlines.pop_front_if(|deadline| deadline.at <= now) {
-            let RequestDeadline {
-                token,
-                request_number,
-                ..
-            } = deadline;
+        while let Some(token) = self.first_overdue(now) {
             let client = self.connections.get(&token);
-            let Some(client) = client.filter(|client| client.request_number == request_number)
-            else {
-                continue;
-            };
-            match client.stage {
-                Stage::Idle => self.drop_connection(token, net),
-                _ => self.refuse(token, &Notice::new(408, "the request is too slow"), net),
+            match client.map(|client| &client.stage) {
+                None | Some(Stage::Idle) => self.drop_connection(token, net),
+                Some(_) => self.refuse(token, &Notice::new(408, "the request is too slow"), net),
             }
         }
     }
 
+    /// Removes the earliest deadline if it has passed, and returns its connection.
+    fn first_overdue(&mut self, now: Micros) -> Option<Token> {
+        let (deadline, token) = self.deadlines.first().copied()?;
+        if deadline > now {
+            return None;
+        }
+        self.deadlines.pop_first();
+        Some(token)
+    }
+
     /// Accepts pending connections up to the limits of this turn and of connections in total.
     pub fn accept(&mut self, now: Micros, net: &mut Net) {
         for _ in 0..MAX_ACCEPTS {
@@ -124,7 +119,7 @@
                 Ok(Some(token)) => {
                     self.connections.insert(token, ClientConnection::new(now));
                     self.set_eviction_rank(token, Some(EvictionRank::Silent));
-                    self.set_request_deadline(now, token);
+                    self.set_request_deadline(token, Some(now + REQUEST_TIMEOUT));
                 }
                 Err(error) => {
                     // No descriptor or no memory is free: the pending ones are accepted after the listener's pause.
@@ -151,15 +146,16 @@
         while self.connections.len() > max && self.make_room(now, net) {}
     }
 
-    /// Sets a deadline of [`REQUEST_TIMEOUT`] for the next request on a connection to arrive.
-    fn set_request_deadline(&mut self, now: Micros, token: Token) {
-        if let Some(client) = self.connections.get(&token) {
-            self.deadlines.push_back(RequestDeadline {
-                at: now + REQUEST_TIMEOUT,
-                token,
-                request_number: client.request_number,
-            });
+    /// Sets or clears the time by which the current request on a connection must have arrived.
+    fn set_request_deadline(&mut self, token: Token, deadline: Option<Micros>) {
+        let Some(client) = self.connections.get_mut(&token) else {
+            return;
+        };
+        if let Some(old) = std::mem::replace(&mut client.request_deadline, deadline) {
+            self.deadlines.remove(&(old, token));
         }
+        self.deadlines
+            .extend(deadline.map(|deadline| (deadline, token)));
     }
 
     fn drop_connection(&mut self, token: Token, net: &mut Net) {
@@ -172,6 +168,9 @@
         if let Some(key) = client.eviction {
             self.evictable.remove(&key);
         }
+        if let Some(deadline) = client.request_deadline {
+            self.deadlines.remove(&(deadline, token));
+        }
         self.reserved_bytes -= client.reserved_bytes;
         if let Stage::AwaitingAnswer { request, .. } = client.stage {
             self.awaiting_answer.remove(&request);
--- a/crates/node/src/clients/requests.rs
+++ b/crates/node/src/clients/requests.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{ClientConnection, EvictionRank, PartialRequest, ReadStep, Stage};
 use super::reply::{Notice, Reply};
-use super::{request_parser, Clients};
+use super::{request_parser, Clients, REQUEST_TIMEOUT};
 use crate::core::{Core, FinalAnswer};
 use crate::net::http::RequestHead;
 use crate::net::{Net, Token};
@@ -72,7 +72,7 @@
         let is_first = eviction.is_some_and(|key| key.rank == EvictionRank::Silent);
         self.set_eviction_rank(token, Some(EvictionRank::Incomplete));
         if !is_first {
-            self.set_request_deadline(now, token);
+            self.set_request_deadline(token, Some(now + REQUEST_TIMEOUT));
         }
     }
 
@@ -92,8 +92,9 @@
         let Stage::ReadingBody(partial) = stage else {
             return;
         };
-        client.request_number += 1;
+        client.request_count += 1;
         self.reserved_bytes -= std::mem::take(&mut client.reserved_bytes);
+        self.set_request_deadline(token, None);
         let PartialRequest { head, content, .. } = *partial;
         match self.accept_request(now, &head, content, core) {
             Ok(request) => {
