Remove the timers of a request and of its attempts when these end

Cause: timers of the core could not be removed. They were ignored when they expired, so nothing but memory showed them.

Change: timers have keys, which the request and the attempt hold and remove with their end. Timers of the dispatcher stay: they are of short windows, and its list of probing jobs is cleaned by them. Related: a job whose client leaves is taken off that list at once, which is searched on each probe.

--- a/crates/dispatcher/src/dispatcher.rs
+++ b/crates/dispatcher/src/dispatcher.rs
@@ -75,6 +75,7 @@
             Event::AttemptEnded(ended) => self.handle_attempt_ended(now, ended, out),
             Event::ClientLeft(id) => {
                 if let Some(request) = self.requests.remove(&id) {
+                    self.probing.retain(|probing| *probing != id);
                     self.retain(request, true);
                 }
             }
--- a/crates/node/src/core/accounting.rs
+++ b/crates/node/src/core/accounting.rs
@@ -87,7 +87,7 @@
     /// Gives the final answer, unless the request already has one or its client has disconnected. Returns whether it
     /// was given.
     pub(super) fn finish(&mut self, id: RequestId, answer: FinalAnswer) -> bool {
-        if !self.table.close(id) {
+        if !self.close(id) {
             return false;
         }
         let request = self.table.get(id);
@@ -110,6 +110,16 @@
         true
     }
 
+    /// Marks a request as closed and removes the timer of its deadline. Returns false if it is unknown or already closed.
+    pub(super) fn close(&mut self, id: RequestId) -> bool {
+        let is_closed = self.table.close(id);
+        let request = self.table.get(id).filter(|_| is_closed);
+        if let Some(timer) = request.and_then(|request| request.timer.take()) {
+            self.timers.remove(timer);
+        }
+        is_closed
+    }
+
     /// Counts an attempt whose last byte was written to its worker; before that, the worker can't have run it.
     pub fn handle_attempt_written(&mut self, id: RequestId) {
         let class = self.table.get(id).map(|request| request.class);
--- a/crates/node/src/core/admission.rs
+++ b/crates/node/src/core/admission.rs
@@ -22,7 +22,7 @@
             .table
             .get(id)
             .and_then(|request| request.last_attempt_sent_at());
-        if self.table.close(id) {
+        if self.close(id) {
             self.counts.clients_left += 1;
             self.pending.push_back(Event::ClientLeft(id));
             self.table.remove_if_done(id);
--- a/crates/node/src/core/attempts.rs
+++ b/crates/node/src/core/attempts.rs
@@ -16,9 +16,10 @@
             return;
         };
         let deadline = request.deadline;
-        let worker = request.attempts[number as usize].worker;
+        let attempt = &mut request.attempts[number as usize];
+        let worker = attempt.worker;
+        attempt.timer = Some(self.timers.add(deadline, Timer::Attempt(id, number)));
         let payload = request.payload.clone();
-        self.timers.add(deadline, Timer::Attempt(id, number));
         self.counts.attempts += 1;
         log::trace!("call {}.{number} to {:016x}", id.0, worker.0);
         self.commands
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -226,7 +226,9 @@
             Action::Fail(request) => self.fail(request),
             Action::Cancel { request, attempt } => self.cancel(now, request, attempt),
             Action::Probe(worker) => self.commands.push_back(Command::ProbeWorker(worker)),
-            Action::SetTimer { at, timer } => self.timers.add(at, Timer::Dispatcher(timer)),
+            Action::SetTimer { at, timer } => {
+                self.timers.add(at, Timer::Dispatcher(timer));
+            }
             Action::WatchWorkers => self.commands.push_back(Command::WatchWorkers),
         }
     }
--- a/crates/node/src/core/responses.rs
+++ b/crates/node/src/core/responses.rs
@@ -103,6 +103,9 @@
             AttemptState::Ended
         };
         let (worker, sent) = (attempt.worker, attempt.sent);
+        if let Some(timer) = attempt.timer.take() {
+            self.timers.remove(timer);
+        }
         let latency = now - sent;
         log::trace!(
             "call {}.{number} worker {:016x} {outcome:?}: waited {} ran {} us, free {}",
--- a/crates/node/src/core/routing.rs
+++ b/crates/node/src/core/routing.rs
@@ -39,6 +39,7 @@
             worker,
             sent: now,
             state,
+            timer: None,
         });
         if allowed {
             return self.start_attempt(id, number, send_before);
--- a/crates/node/src/core/table.rs
+++ b/crates/node/src/core/table.rs
@@ -1,6 +1,7 @@
 //! The request table: keeps each request until it is closed and all of its attempts have ended.
 
 use super::licensing::LicenceNeeds;
+use super::timers::TimerKey;
 use super::Payload;
 use marbledeck_dispatcher::{ClassId, Micros, RequestId, WorkerId};
 use std::collections::{HashMap, HashSet};
@@ -27,6 +28,8 @@
     pub sent: Micros,
     /// Its progress.
     pub state: AttemptState,
+    /// The timer of its deadline; none if it is not in flight.
+    pub timer: Option<TimerKey>,
 }
 
 impl Attempt {
@@ -49,6 +52,8 @@
     pub deadline: Micros,
     /// Whether it was answered or its client has disconnected.
     pub closed: bool,
+    /// The timer of its deadline; none if it is closed.
+    pub timer: Option<TimerKey>,
     /// The licences that each of its attempts needs.
     pub needs: LicenceNeeds,
     /// Its attempts, by number.
@@ -103,6 +108,7 @@
             payload: Rc::new(payload),
             deadline,
             closed: false,
+            timer: None,
             needs,
             attempts: Vec::new(),
         };
--- a/crates/node/src/core/validation.rs
+++ b/crates/node/src/core/validation.rs
@@ -85,8 +85,12 @@
         let transaction_id = request.payload.transaction_id.clone();
         let id = self.table.insert(class, request.payload, deadline, needs);
         // Expires after the attempts' timeouts, which let the dispatcher answer first.
-        self.timers
+        let timer = self
+            .timers
             .add(deadline + OVERDUE_AFTER, Timer::Deadline(id));
+        if let Some(request) = self.table.get(id) {
+            request.timer = Some(timer);
+        }
         self.counts.accepted += 1;
         let (ClassId(c), TenantId(t), left) = (class, tenant, request.time_left.0);
         log::trace!(
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -88,6 +88,7 @@
             ["gone", name] => drop(self.core.handle_client_left(now, self.request_id(name))),
             ["settle"] => self.core.end_open_requests(now),
             ["wake"] => self.core.wake(now),
+            ["no-timer"] => assert_eq!(self.core.next_wake(), None),
             ["idle"] => assert!(self.core.is_idle()),
             _ => panic!("unknown event: {words:?}"),
         }
