Bound the memory of clients' connections and of jobs with small bodies

Cause: only descriptors and bodies over 4 KiB were limited. Unread answers, heads, small bodies and the jobs of clients that have left were not, and buffers were up to twice as large as needed.

Change: clients' connections have a budget of a quarter of the memory above 16 MB for their buffers and incomplete requests (clients/memory.rs). Beyond it the oldest incomplete request that holds over 4 KB is answered 503, then the connection with the longest unread answer is closed. Net counts the buffers when it flushes a connection, so nothing is walked as long as the budget holds. Jobs with small bodies have an eighth, or are answered 503. Buffers over 16 KB grow by a quarter.

--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -1,14 +1,11 @@
 //! A client's connection: the progress of its current request, and its eviction rank.
 
 use crate::clock::millis;
+use crate::core::MAX_SMALL_BODY;
 use crate::net::conn::Connection;
 use crate::net::http::{self, Body, ParseError, RequestHead};
 use marbledeck_dispatcher::{Micros, RequestId};
 
-/// A body up to this size is not counted against the budget for large bodies. Few are larger, and those must not keep
-/// the others from being accepted.
-const MAX_UNRESERVED_BODY: usize = 4 * 1024;
-
 /// How long after the accept a connection counts as new: its first request may still be on its way.
 const NEW_CONNECTION_PERIOD: Micros = millis(500);
 
@@ -20,6 +17,8 @@
     pub body: Body,
     /// The content of the body so far.
     pub content: Vec<u8>,
+    /// The memory that the head takes, in bytes.
+    pub head_bytes: usize,
 }
 
 /// The progress of the current request.
@@ -87,6 +86,10 @@
     pub request_count: u64,
     /// When its current request must have arrived completely; none while no request is arriving.
     pub request_deadline: Option<Micros>,
+    /// When its last answer was given.
+    pub answered_at: Micros,
+    /// The memory that its current request takes while it arrives, in bytes.
+    pub partial_bytes: usize,
     /// The bytes reserved from the budget for large bodies while its body is read.
     pub reserved_bytes: usize,
 }
@@ -100,6 +103,8 @@
             eviction: None,
             request_count: 0,
             request_deadline: None,
+            answered_at: accepted,
+            partial_bytes: 0,
             reserved_bytes: 0,
         }
     }
@@ -154,7 +159,7 @@
             Err(error) => return ReadStep::Failed(error),
         };
         let max_bytes = body.max_remaining();
-        self.reserved_bytes = if max_bytes > MAX_UNRESERVED_BODY {
+        self.reserved_bytes = if max_bytes > MAX_SMALL_BODY {
             max_bytes
         } else {
             0
@@ -163,6 +168,7 @@
         let expects_continue = expect.is_some_and(|e| e.eq_ignore_ascii_case("100-continue"));
         let wants_continue = expects_continue && !body.is_done() && conn.input.is_empty();
         self.stage = Stage::ReadingBody(Box::new(PartialRequest {
+            head_bytes: head.memory_bytes(),
             head,
             body,
             content: Vec::new(),
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod eviction;
+mod memory;
 mod reply;
 mod request_parser;
 mod requests;
@@ -44,6 +45,10 @@
     deadlines: BTreeSet<(Micros, Token)>,
     /// The maximum total size of large bodies in bytes.
     pub body_budget: usize,
+    /// The maximum memory that all connections may take, in bytes: their buffers, and the requests that arrive.
+    pub connection_budget: usize,
+    /// The memory that the requests take that have not arrived completely, without the connections' buffers.
+    partial_bytes: usize,
     /// The part of the budget that is reserved for large bodies that have not arrived completely.
     reserved_bytes: usize,
     /// Whether the process is shutting down, so that connections are closed after the next answer.
@@ -60,6 +65,7 @@
         inherited: Option<OwnedFd>,
         max_connections: usize,
         body_budget: usize,
+        connection_budget: usize,
         net: &mut Net,
     ) -> io::Result<Self> {
         let (listener, addr) = net.listen(addr, inherited, Peer::Client)?;
@@ -73,6 +79,8 @@
             eviction_sequence: 0,
             deadlines: BTreeSet::new(),
             body_budget,
+            connection_budget,
+            partial_bytes: 0,
             reserved_bytes: 0,
             draining: false,
         })
@@ -172,6 +180,7 @@
             self.deadlines.remove(&(deadline, token));
         }
         self.reserved_bytes -= client.reserved_bytes;
+        self.partial_bytes -= client.partial_bytes;
         if let Stage::AwaitingAnswer { request, .. } = client.stage {
             self.awaiting_answer.remove(&request);
         }
--- a/crates/node/src/clients/requests.rs
+++ b/crates/node/src/clients/requests.rs
@@ -25,6 +25,11 @@
 
     /// Reads until a request is accepted or the input is used up.
     fn read(&mut self, now: Micros, token: Token, net: &mut Net, core: &mut Core) {
+        self.read_requests(now, token, net, core);
+        self.count_partial_request(token);
+    }
+
+    fn read_requests(&mut self, now: Micros, token: Token, net: &mut Net, core: &mut Core) {
         while let Some(client) = self.connections.get_mut(&token) {
             if client.awaits_answer() || !net.has_room(token, MAX_BACKLOG) {
                 return;
@@ -95,7 +100,10 @@
         client.request_count += 1;
         self.reserved_bytes -= std::mem::take(&mut client.reserved_bytes);
         self.set_request_deadline(token, None);
-        let PartialRequest { head, content, .. } = *partial;
+        let PartialRequest {
+            head, mut content, ..
+        } = *partial;
+        content.shrink_to_fit();
         match self.accept_request(now, &head, content, core) {
             Ok(request) => {
                 if let Some(client) = self.connections.get_mut(&token) {
@@ -135,6 +143,10 @@
             ("POST", _) => {
                 let mut request = request_parser::parse_request(head)?;
                 request.payload.body = content;
+                let small_bytes = request.payload.small_bytes();
+                if core.small_payload_bytes() + small_bytes > self.body_budget / 2 {
+                    return Err(Notice::new(503, "too many requests in progress"));
+                }
                 Ok(core.accept_request(now, request)?)
             }
             _ => Err(Notice::new(405, "every job comes by POST")),
@@ -172,6 +184,9 @@
                 ..
             })
         );
+        if let Some(client) = self.connections.get_mut(&token) {
+            client.answered_at = now;
+        }
         let reply = Reply::of_answer(answer, wants_keep_alive && !self.draining);
         self.reply(token, &reply, net);
         // The client may have sent the next request already.
@@ -180,7 +195,7 @@
     }
 
     /// Sends a response, and then keeps the connection open for the next request or closes it.
-    fn reply(&mut self, token: Token, reply: &Reply, net: &mut Net) {
+    pub(super) fn reply(&mut self, token: Token, reply: &Reply, net: &mut Net) {
         if !net.write(token, &reply.bytes()) {
             return self.drop_connection(token, net);
         }
--- a/crates/node/src/config/node.rs
+++ b/crates/node/src/config/node.rs
@@ -20,6 +20,9 @@
 /// Memory reserved for a request body, as a multiple of its length. A body may be held three times: as received, in
 /// the send buffer of a worker, and in the old buffer while that buffer grows. The fourth part is a safety margin.
 const MEMORY_PER_BODY: usize = 4;
+/// The part of the memory above the reserved one that clients may take with incomplete requests and unread answers, as a
+/// divisor.
+const CONNECTION_MEMORY_SHARE: usize = 4;
 const BYTES_PER_MB: usize = 1024 * 1024;
 /// How long a worker keeps an idle connection open, if the settings do not say.
 const DEFAULT_IDLE_TIMEOUT: Micros = Micros(5_000_000);
@@ -78,6 +81,8 @@
     pub worker_connections: usize,
     /// Maximum total length of request bodies.
     pub body_bytes: usize,
+    /// Maximum memory that clients take with incomplete requests and unread answers, in bytes.
+    pub connection_bytes: usize,
 }
 
 /// The node's configuration.
@@ -285,6 +290,7 @@
             client_connections,
             worker_connections: descriptors - RESERVED_DESCRIPTORS - client_connections,
             body_bytes: free_mb * BYTES_PER_MB / MEMORY_PER_BODY,
+            connection_bytes: free_mb * BYTES_PER_MB / CONNECTION_MEMORY_SHARE,
         })
     }
 }
--- a/crates/node/src/core/commands.rs
+++ b/crates/node/src/core/commands.rs
@@ -4,6 +4,10 @@
 use std::fmt;
 use std::rc::Rc;
 
+/// The maximum size in bytes of a small body. Few bodies are larger, and those are limited separately so that they do not
+/// keep the others from being accepted.
+pub const MAX_SMALL_BODY: usize = 4 * 1024;
+
 /// The parts of a request that are forwarded to a worker unchanged.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Payload {
@@ -19,6 +23,18 @@
     pub body: Vec<u8>,
 }
 
+impl Payload {
+    /// The size of the payload in bytes if its body is at most [`MAX_SMALL_BODY`], and 0 if it is larger: those are limited
+    /// by the size of their bodies.
+    pub fn small_bytes(&self) -> usize {
+        if self.body.len() > MAX_SMALL_BODY {
+            return 0;
+        }
+        let key = self.key.as_ref().map_or(0, String::len);
+        self.transaction_id.len() + key + self.target.len() + self.body.len()
+    }
+}
+
 /// The final answer of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FinalAnswer {
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -18,7 +18,7 @@
 mod validation;
 
 pub use accounting::{ClassCounts, Counts};
-pub use commands::{AttemptCommand, Command, FinalAnswer, Payload};
+pub use commands::{AttemptCommand, Command, FinalAnswer, Payload, MAX_SMALL_BODY};
 pub use names::NameRegistry;
 pub use responses::AttemptEnd;
 pub use validation::{NewRequest, RequestError};
@@ -183,6 +183,11 @@
         self.table.body_bytes()
     }
 
+    /// The total size in bytes of the payloads of all requests in the table whose body is at most [`MAX_SMALL_BODY`].
+    pub fn small_payload_bytes(&self) -> usize {
+        self.table.small_payload_bytes()
+    }
+
     /// The names of the classes and tenants.
     pub fn names(&self) -> &NameRegistry {
         &self.names
--- a/crates/node/src/core/table.rs
+++ b/crates/node/src/core/table.rs
@@ -88,6 +88,8 @@
     transaction_ids: HashSet<String>,
     /// The total size in bytes of the bodies of all requests in the table.
     body_bytes: usize,
+    /// The total size in bytes of the payloads of all requests in the table that have a small body.
+    small_payload_bytes: usize,
 }
 
 impl Table {
@@ -103,6 +105,7 @@
         self.next_id += 1;
         self.transaction_ids.insert(payload.transaction_id.clone());
         self.body_bytes += payload.body.len();
+        self.small_payload_bytes += payload.small_bytes();
         let request = Request {
             class,
             payload: Rc::new(payload),
@@ -156,6 +159,7 @@
         if let Some(request) = self.requests.remove(&id) {
             self.transaction_ids.remove(&request.payload.transaction_id);
             self.body_bytes -= request.payload.body.len();
+            self.small_payload_bytes -= request.payload.small_bytes();
         }
     }
 
@@ -169,6 +173,11 @@
         self.body_bytes
     }
 
+    /// The total size in bytes of the payloads of all requests in the table that have a small body.
+    pub fn small_payload_bytes(&self) -> usize {
+        self.small_payload_bytes
+    }
+
     /// The open requests, in the order in which they arrived.
     pub fn open_requests(&self) -> Vec<RequestId> {
         let open = self.requests.iter().filter(|(_, request)| !request.closed);
--- a/crates/node/src/net/closing.rs
+++ b/crates/node/src/net/closing.rs
@@ -56,6 +56,9 @@
         };
         let peer = slot.peer;
         let is_closing = matches!(&slot.socket, Socket::Stream(conn) if conn.closing.is_some());
+        if let Socket::Stream(conn) = &slot.socket {
+            self.client_buffer_bytes -= conn.counted_bytes;
+        }
         *self.closing.of_mut(peer) -= usize::from(is_closing);
         // Closing the only descriptor also removes it from the epoll instance.
         self.slots[token.index()] = None;
@@ -84,8 +87,12 @@
         let peer = slot.peer;
         if let Some(conn) = self.get(token).filter(|conn| conn.closing.is_none()) {
             conn.closing = Some(closing);
+            if closing == Closing::DiscardInput {
+                conn.input.consume(usize::MAX);
+            }
             *self.closing.of_mut(peer) += 1;
             self.lingering.push_back(Lingering { deadline, token });
+            self.count_buffers(token);
             self.touch(token);
         }
     }
--- a/crates/node/src/net/conn.rs
+++ b/crates/node/src/net/conn.rs
@@ -62,6 +62,8 @@
     pub(super) reports_eof: bool,
     /// The events that the epoll instance waits for.
     pub(super) interest: EventFlags,
+    /// The size of its buffers when it was last flushed.
+    pub(super) counted_bytes: usize,
 }
 
 impl Connection {
@@ -76,9 +78,15 @@
             closing: None,
             reports_eof: false,
             interest: EventFlags::empty(),
+            counted_bytes: 0,
         }
     }
 
+    /// The memory that its buffers take, in bytes.
+    pub fn buffer_bytes(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
     /// Whether both sides may still send.
     pub fn is_open(&self) -> bool {
         self.state == State::Open && !self.eof && !self.broken
--- a/crates/node/src/net/http.rs
+++ b/crates/node/src/net/http.rs
@@ -67,6 +67,16 @@
     pub keep_alive: bool,
 }
 
+impl RequestHead {
+    /// The memory that the head takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let fields = self.fields.0.iter();
+        let texts = fields.map(|(name, value)| name.capacity() + value.capacity());
+        let entries = self.fields.0.capacity() * size_of::<(String, String)>();
+        self.target.capacity() + entries + texts.sum::<usize>()
+    }
+}
+
 /// The head of a response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHead {
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -130,6 +130,8 @@
     /// The connections that are being closed, ordered by deadline.
     lingering: VecDeque<Lingering>,
     closing: ClosingCounts,
+    /// The size of the buffers of all clients' connections, as counted when each was last flushed.
+    client_buffer_bytes: usize,
     /// The time of the current turn.
     now: Micros,
 }
@@ -148,6 +150,7 @@
             touched: Vec::new(),
             lingering: VecDeque::new(),
             closing: ClosingCounts::default(),
+            client_buffer_bytes: 0,
             now: Micros(0),
         })
     }
@@ -288,7 +291,32 @@
         self.close_expired();
     }
 
+    /// The size in bytes of the buffers of all clients' connections, as counted when each was last flushed.
+    pub fn client_buffer_bytes(&self) -> usize {
+        self.client_buffer_bytes
+    }
+
+    /// Counts the buffers of a connection anew, if it is a client's.
+    fn count_buffers(&mut self, token: Token) {
+        let Some(Slot {
+            peer: Peer::Client,
+            socket: Socket::Stream(conn),
+            ..
+        }) = self.slot(token)
+        else {
+            return;
+        };
+        let bytes = conn.buffer_bytes();
+        let before = std::mem::replace(&mut conn.counted_bytes, bytes);
+        self.client_buffer_bytes = self.client_buffer_bytes + bytes - before;
+    }
+
     fn flush_connection(&mut self, token: Token) {
+        self.write_output(token);
+        self.count_buffers(token);
+    }
+
+    fn write_output(&mut self, token: Token) {
         let Some(conn) = self.get(token) else {
             return;
         };
--- a/crates/node/src/net/ring.rs
+++ b/crates/node/src/net/ring.rs
@@ -2,6 +2,8 @@
 
 /// The initial allocation in bytes. A larger buffer is freed when it becomes empty.
 const INITIAL_SIZE: usize = 2048;
+/// A buffer grows by doubling up to this size, and then by a quarter: large ones would waste too much memory.
+const MAX_DOUBLED_SIZE: usize = 16 * 1024;
 
 /// A ring buffer of bytes.
 pub struct Ring {
@@ -33,6 +35,11 @@
         self.len
     }
 
+    /// How many bytes are allocated.
+    pub fn capacity(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether it holds no bytes.
     pub fn is_empty(&self) -> bool {
         self.len == 0
@@ -116,7 +123,13 @@
         if wanted <= self.buffer.len() || self.buffer.len() >= self.limit {
             return;
         }
-        let size = wanted.next_power_of_two().max(INITIAL_SIZE).min(self.limit);
+        let size = if wanted <= MAX_DOUBLED_SIZE {
+            wanted.next_power_of_two().max(INITIAL_SIZE)
+        } else {
+            let grown = self.buffer.len() + self.buffer.len() / 4;
+            wanted.max(grown).next_multiple_of(MAX_DOUBLED_SIZE)
+        };
+        let size = size.min(self.limit);
         let mut bigger = Vec::with_capacity(size);
         bigger.extend_from_slice(self.all());
         bigger.resize(size, 0);
--- a/crates/node/src/node/builder.rs
+++ b/crates/node/src/node/builder.rs
@@ -154,6 +154,7 @@
             self.takeover.client_listener.take(),
             limits.client_connections,
             limits.body_bytes,
+            limits.connection_bytes,
             &mut self.context.net,
         )
     }
--- a/crates/node/src/node/commands.rs
+++ b/crates/node/src/node/commands.rs
@@ -17,6 +17,7 @@
         } = &mut self.context;
         net.flush(now);
         workers.record_written(net, core);
+        self.clients.limit_memory(now, net);
     }
 
     /// Checks again, right before the flush, whether the attempts that were decided may still be sent. The process may
--- a/crates/node/src/node/limits.rs
+++ b/crates/node/src/node/limits.rs
@@ -69,6 +69,7 @@
         let resources = self.limits.resources;
         let net = &mut self.context.net;
         self.clients.body_budget = resources.body_bytes / processes;
+        self.clients.connection_budget = resources.connection_bytes / processes;
         self.clients
             .set_max_connections(now, resources.client_connections / processes, net);
         self.context
