Send no request whose client may have closed behind unread input

Cause: the system reports a client's end once all that it sent before has arrived, which waits while the receive buffer is full, and the answer that would be met with a reset had not been written yet when the next job was taken in its turn.

Change: where an attempt is about to be sent, input that is left unread beyond the connection's buffer counts as an end that cannot be seen. The request is rejected, or fails if an earlier attempt may have run, and its attempt is withdrawn. For that, an attempt records that it was written.

The new test of clients/tests.rs fails without the check: the request stays open and is sent.

--- a/crates/node/src/clients/requests.rs
+++ b/crates/node/src/clients/requests.rs
@@ -224,18 +224,31 @@
         }
     }
 
-    /// Closes those of these requests whose client has disconnected by now.
+    /// Closes those of these requests, which are about to be sent, whose client has disconnected by now, and ends those of
+    /// which this cannot be known.
     pub fn drop_departed(
         &mut self,
         now: Micros,
-        requests: Vec<RequestId>,
+        requests: &[RequestId],
         net: &mut Net,
         core: &mut Core,
     ) {
-        let tokens = requests
-            .iter()
-            .filter_map(|request| self.awaiting_answer.get(request).copied());
-        for token in net.closed_by_peer(tokens.collect()) {
+        let mut tokens = Vec::with_capacity(requests.len());
+        for request in requests {
+            let Some(token) = self.awaiting_answer.get(request).copied() else {
+                continue;
+            };
+            if net.hides_end(token) {
+                log::debug!(
+                    "clients: ending request {}: its client may have left behind unread input",
+                    request.0
+                );
+                core.end_unsent(now, *request);
+            } else {
+                tokens.push(token);
+            }
+        }
+        for token in net.closed_by_peer(tokens) {
             self.handle_disconnect(now, token, net, core);
         }
     }
--- a/crates/node/src/clients/tests.rs
+++ b/crates/node/src/clients/tests.rs
@@ -4,7 +4,7 @@
 use super::Clients;
 use crate::core::{Core, NameRegistry};
 use crate::net::{Net, Peer, Token};
-use marbledeck_dispatcher::{Micros, WorkerEntry, WorkerListKind};
+use marbledeck_dispatcher::{Micros, RequestId, WorkerEntry, WorkerListKind};
 use marbledeck_platform_settings::{worker_id, PlatformSettings};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -89,6 +89,15 @@
         client
     }
 
+    fn add_worker(&mut self) {
+        let worker = WorkerEntry {
+            worker: worker_id("w1"),
+            ..WorkerEntry::default()
+        };
+        self.core
+            .apply_worker_list(self.now, WorkerListKind::Full, vec![worker]);
+    }
+
     fn answered(&self) -> u64 {
         let counts = self.clients.connections.values();
         counts.map(|client| client.request_count).sum()
@@ -117,6 +126,12 @@
     assert_eq!(front_end.clients.deadlines.len(), 1);
 }
 
+fn job(transaction_id: &str, path: &str) -> String {
+    format!(
+        "POST /{path} HTTP/1.1\r\nX-Txn: {transaction_id}\r\nX-Lane: preview\r\nX-Org: au\r\nX-Remaining-Ms: 7000\r\n\r\n"
+    )
+}
+
 fn read_status(client: &mut TcpStream) -> String {
     let mut status = [0; 12];
     client.read_exact(&mut status).expect("an answer");
@@ -182,19 +197,10 @@
 #[test]
 fn small_jobs_beyond_their_share_of_the_memory_are_rejected() {
     let mut front_end = FrontEnd::new();
-    let worker = WorkerEntry {
-        worker: worker_id("w1"),
-        ..WorkerEntry::default()
-    };
-    front_end
-        .core
-        .apply_worker_list(front_end.now, WorkerListKind::Full, vec![worker]);
+    front_end.add_worker();
     for (number, expected) in [(1, 1), (2, 0)] {
         let mut client = front_end.connect();
-        let request = format!(
-            "POST /{} HTTP/1.1\r\nX-Txn: t{number}\r\nX-Lane: preview\r\nX-Org: au\r\nX-Remaining-Ms: 7000\r\n\r\n",
-            "p".repeat(700)
-        );
+        let request = job(&format!("t{number}"), &"p".repeat(700));
         client
             .write_all(request.as_bytes())
             .expect("a written request");
@@ -215,3 +221,30 @@
         }
     }
 }
+
+/// Guards against an attempt for a client that has left: where more of its input is unread than has room, its end cannot be
+/// seen, and a request of it is rejected instead of sent. A next request that has room changes nothing.
+#[test]
+fn a_request_behind_which_the_clients_end_is_hidden_is_not_sent() {
+    for (jobs, is_sent) in [(1, true), (3, true), (1_000, false)] {
+        let mut front_end = FrontEnd::new();
+        front_end.add_worker();
+        let mut client = front_end.connect();
+        let pipeline: String = (0..jobs)
+            .map(|n| job(&format!("t{n}"), &"p".repeat(20)))
+            .collect();
+        client.set_nonblocking(true).expect("a socket");
+        let written = client.write(pipeline.as_bytes());
+        let read_whole = written.expect("written requests") < 20 * 1024;
+        assert_eq!(read_whole, is_sent, "the input buffer holds 20 KB");
+        while front_end.core.unanswered() == 0 {
+            front_end.turn();
+        }
+        let request = RequestId(0);
+        let (net, core) = (&mut front_end.net, &mut front_end.core);
+        front_end
+            .clients
+            .drop_departed(front_end.now, &[request], net, core);
+        assert_eq!(!core.is_closed(request), is_sent, "{jobs} jobs");
+    }
+}
--- a/crates/node/src/core/accounting.rs
+++ b/crates/node/src/core/accounting.rs
@@ -120,8 +120,11 @@
         is_closed
     }
 
-    /// Counts an attempt whose last byte was written to its worker; before that, the worker can't have run it.
-    pub fn handle_attempt_written(&mut self, id: RequestId) {
+    /// Records an attempt whose last byte was written to its worker; before that, the worker can't have run it.
+    pub fn handle_attempt_written(&mut self, id: RequestId, number: u32) {
+        if let Some(attempt) = self.table.in_flight(id, number) {
+            attempt.is_written = true;
+        }
         let class = self.table.get(id).map(|request| request.class);
         if let Some(counts) = class.and_then(|class| self.counts.class_mut(class)) {
             counts.written += 1;
--- a/crates/node/src/core/admission.rs
+++ b/crates/node/src/core/admission.rs
@@ -43,6 +43,22 @@
         unsent
     }
 
+    /// Ends an open request instead of sending its next attempt: it is rejected if none of its attempts may have run, and
+    /// fails otherwise. The next attempt is withdrawn, since its request is closed.
+    pub fn end_unsent(&mut self, now: Micros, id: RequestId) {
+        let request = self.table.get(id);
+        let may_have_run = request.is_some_and(|request| request.may_have_run());
+        let answer = if may_have_run {
+            FinalAnswer::Failed
+        } else {
+            FinalAnswer::Rejected(None)
+        };
+        if self.finish(id, answer) {
+            self.pending.push_back(Event::ClientLeft(id));
+            self.decide(now);
+        }
+    }
+
     /// Ends every open request because the process is about to be killed. Clients that get an answer can retry at the
     /// successor process. The dispatcher decides how each request ends, as it does when no worker is left.
     pub fn end_open_requests(&mut self, now: Micros) {
--- a/crates/node/src/core/routing.rs
+++ b/crates/node/src/core/routing.rs
@@ -39,6 +39,7 @@
             worker,
             sent: now,
             state,
+            is_written: false,
             timer: None,
         });
         if allowed {
--- a/crates/node/src/core/table.rs
+++ b/crates/node/src/core/table.rs
@@ -28,6 +28,8 @@
     pub sent: Micros,
     /// Its progress.
     pub state: AttemptState,
+    /// Whether its last byte was written.
+    pub is_written: bool,
     /// The timer of its deadline; none if it is not in flight.
     pub timer: Option<TimerKey>,
 }
@@ -68,6 +70,12 @@
             .any(|attempt| matches!(attempt.state, AttemptState::Running(_)))
     }
 
+    /// Whether an attempt may have run: its last byte was written, and it did not end in a way that excludes this.
+    pub fn may_have_run(&self) -> bool {
+        let mut attempts = self.attempts.iter();
+        attempts.any(|attempt| attempt.is_written && attempt.state != AttemptState::NeverRan)
+    }
+
     /// The start time of the last attempt that may have run.
     pub fn last_attempt_sent_at(&self) -> Option<Micros> {
         let may_have_run = self
--- a/crates/node/src/net/conn.rs
+++ b/crates/node/src/net/conn.rs
@@ -221,13 +221,27 @@
         self.output.is_empty() || self.broken
     }
 
+    /// Whether unread input may hide that the peer has closed the connection: its end is reported once all that it sent
+    /// before has arrived, and that does not arrive while the system's buffer is full. Reads what has room first.
+    pub(super) fn hides_end(&mut self) -> bool {
+        if self.input.is_empty() || !self.is_open() {
+            return false;
+        }
+        self.read_input();
+        !self.eof && !self.broken && self.peek().is_ok_and(|bytes| bytes > 0)
+    }
+
+    /// Looks for unread input, without taking it. Returns how many bytes were found, at most one; 0 at its end.
+    fn peek(&self) -> Result<usize, Errno> {
+        let mut byte = [0u8; 1];
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        rustix::net::recv(&self.fd, &mut byte, flags).map(|(_, bytes)| bytes)
+    }
+
     /// Whether an idle connection can be reused: it is open and has no unread input. Peeks at the socket to detect that
     /// the peer has just closed it.
     pub(super) fn is_reusable(&self) -> bool {
-        let mut byte = [0u8; 1];
-        let peek = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-        let received = rustix::net::recv(&self.fd, &mut byte, peek);
-        let no_input = matches!(received, Err(Errno::AGAIN));
+        let no_input = matches!(self.peek(), Err(Errno::AGAIN));
         self.is_open() && self.input.is_empty() && no_input
     }
 
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -251,6 +251,12 @@
         self.process_event(SocketEvent { token, flags })
     }
 
+    /// Whether unread input may hide that the peer has closed the connection.
+    pub fn hides_end(&mut self, token: Token) -> bool {
+        self.touch(token);
+        self.get(token).is_some_and(Connection::hides_end)
+    }
+
     /// Whether an idle connection can be reused: it is open and has no unread input.
     pub fn is_reusable(&mut self, token: Token) -> bool {
         self.get(token).is_some_and(|conn| conn.is_reusable())
--- a/crates/node/src/node/commands.rs
+++ b/crates/node/src/node/commands.rs
@@ -45,7 +45,7 @@
             "{} unsent calls may be sent by revision {revision} of the worker list",
             unsent.len()
         );
-        self.clients.drop_departed(now, unsent, net, core);
+        self.clients.drop_departed(now, &unsent, net, core);
         context.workers.withdraw_stale(now, fleet, net, core);
         context.workers.refresh_deadlines(now, net);
         // Requests whose attempts were withdrawn are retried or answered in this iteration.
--- a/crates/node/src/workers/connection.rs
+++ b/crates/node/src/workers/connection.rs
@@ -101,9 +101,9 @@
     }
 
     /// The request of its attempt, until the attempt's last byte is written.
-    pub fn unwritten_attempt(&self) -> Option<RequestId> {
+    pub fn unwritten_attempt(&self) -> Option<AttemptId> {
         match self.purpose {
-            Purpose::Attempt(attempt) if !self.written => Some(attempt.request),
+            Purpose::Attempt(attempt) if !self.written => Some(attempt),
             _ => None,
         }
     }
@@ -116,12 +116,12 @@
     /// Counts an attempt once its last byte is written. One that was cancelled before, or whose connection was never
     /// established, is not counted, since no worker has received it.
     pub fn record_written(&mut self, conn: &Connection, core: &mut Core) {
-        if let Some(request) = self.unwritten_attempt() {
+        if let Some(AttemptId { request, number }) = self.unwritten_attempt() {
             if !conn.is_connecting() && conn.output.is_empty() {
                 self.written = true;
                 self.encoded_attempt = None;
                 log::trace!(target: super::LOG_TARGET, "{}: written", self.purpose);
-                core.handle_attempt_written(request);
+                core.handle_attempt_written(request, number);
             }
         }
     }
--- a/crates/node/src/workers/mod.rs
+++ b/crates/node/src/workers/mod.rs
@@ -338,6 +338,7 @@
         let connections = tokens.filter_map(|token| self.pool.get(*token));
         connections
             .filter_map(WorkerConnection::unwritten_attempt)
+            .map(|attempt| attempt.request)
             .collect()
     }
 
