--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -86,6 +86,8 @@
     pub request_count: u64,
     /// When its current request must have arrived completely; none while no request is arriving.
     pub request_deadline: Option<Micros>,
+    /// When the client was last known not to have closed the connection.
+    pub known_open_at: Micros,
     /// When its last answer was given.
     pub answered_at: Micros,
     /// The memory that its current request takes while it arrives, in bytes.
@@ -103,6 +105,7 @@
             eviction: None,
             request_count: 0,
             request_deadline: None,
+            known_open_at: accepted,
             answered_at: accepted,
             partial_bytes: 0,
             reserved_bytes: 0,
--- a/crates/node/src/clients/requests.rs
+++ b/crates/node/src/clients/requests.rs
@@ -3,11 +3,15 @@
 use super::connection::{ClientConnection, EvictionRank, PartialRequest, ReadStep, Stage};
 use super::reply::{Notice, Reply};
 use super::{request_parser, Clients, REQUEST_TIMEOUT};
+use crate::clock::millis;
 use crate::core::{Core, FinalAnswer};
 use crate::net::http::RequestHead;
 use crate::net::{Net, Token};
 use marbledeck_dispatcher::{Micros, RequestId};
 
+/// How long an attempt may be sent after the client was last known to be there: one that begins later than this after the
+/// client has closed its connection counts as a lost request.
+const MAX_HIDDEN_END: Micros = millis(100);
 /// No further request is read from a connection while more than this many bytes are still to be sent on it.
 const MAX_BACKLOG: usize = 16 * 1024;
 
@@ -20,6 +24,13 @@
         if conn.eof || conn.broken {
             return self.handle_disconnect(now, token, net, core);
         }
+        if let Some(client) = self
+            .connections
+            .get_mut(&token)
+            .filter(|_| conn.was_drained())
+        {
+            client.known_open_at = now;
+        }
         self.read(now, token, net, core);
     }
 
@@ -238,7 +249,9 @@
             let Some(token) = self.awaiting_answer.get(request).copied() else {
                 continue;
             };
-            if net.hides_end(token) {
+            let client = self.connections.get(&token);
+            let last_known_open = client.map_or(now, |client| client.known_open_at);
+            if now > last_known_open + MAX_HIDDEN_END && net.hides_end(token) {
                 log::debug!(
                     "clients: ending request {}: its client may have left behind unread input",
                     request.0
--- a/crates/node/src/clients/tests.rs
+++ b/crates/node/src/clients/tests.rs
@@ -223,7 +223,7 @@
 }
 
 /// Guards against an attempt for a client that has left: where more of its input is unread than has room, its end cannot be
-/// seen, and a request of it is rejected instead of sent. A next request that has room changes nothing.
+/// seen, and after 0.1 s a request of it is rejected instead of sent. A next request that has room changes nothing.
 #[test]
 fn a_request_behind_which_the_clients_end_is_hidden_is_not_sent() {
     for (jobs, is_sent) in [(1, true), (3, true), (1_000, false)] {
@@ -241,10 +241,11 @@
             front_end.turn();
         }
         let request = RequestId(0);
-        let (net, core) = (&mut front_end.net, &mut front_end.core);
-        front_end
-            .clients
-            .drop_departed(front_end.now, &[request], net, core);
-        assert_eq!(!core.is_closed(request), is_sent, "{jobs} jobs");
+        for (after_ms, is_sent) in [(100, true), (101, is_sent)] {
+            let now = Micros(front_end.now.0 + after_ms * 1000);
+            let (net, core) = (&mut front_end.net, &mut front_end.core);
+            front_end.clients.drop_departed(now, &[request], net, core);
+            assert_eq!(!core.is_closed(request), is_sent, "{jobs} jobs");
+        }
     }
 }
--- a/crates/node/src/net/conn.rs
+++ b/crates/node/src/net/conn.rs
@@ -60,6 +60,10 @@
     pub(super) closing: Option<Closing>,
     /// Whether the end of the peer's input is reported at once, even if the input buffer is full.
     pub(super) reports_eof: bool,
+    /// Whether the last read took all input that had arrived, so that a later end of the peer is reported.
+    is_drained: bool,
+    /// Whether all input had been taken before the last read began.
+    was_drained: bool,
     /// The events that the epoll instance waits for.
     pub(super) interest: EventFlags,
     /// The size of its buffers when it was last flushed.
@@ -77,6 +81,8 @@
             broken: false,
             closing: None,
             reports_eof: false,
+            is_drained: true,
+            was_drained: true,
             interest: EventFlags::empty(),
             counted_bytes: 0,
         }
@@ -87,6 +93,12 @@
         self.input.capacity() + self.output.capacity()
     }
 
+    /// Whether all input had been taken before the last event, so that until then an end of the peer would have been
+    /// reported.
+    pub fn was_drained(&self) -> bool {
+        self.was_drained
+    }
+
     /// Whether both sides may still send.
     pub fn is_open(&self) -> bool {
         self.state == State::Open && !self.eof && !self.broken
@@ -140,6 +152,7 @@
     /// what the peer sent before it disconnected still counts.
     fn read_input(&mut self) -> ReadStop {
         let mut remaining = MAX_READ;
+        self.was_drained = std::mem::take(&mut self.is_drained);
         while remaining > 0 && !self.eof {
             let free = self.input.free();
             if free.is_empty() {
@@ -151,7 +164,10 @@
                     self.input.commit(n);
                     remaining = remaining.saturating_sub(n);
                 }
-                Err(Errno::AGAIN) => return ReadStop::Drained,
+                Err(Errno::AGAIN) => {
+                    self.is_drained = true;
+                    return ReadStop::Drained;
+                }
                 Err(Errno::INTR) => {}
                 Err(_) => {
                     self.broken = true;
@@ -224,11 +240,11 @@
     /// Whether unread input may hide that the peer has closed the connection: its end is reported once all that it sent
     /// before has arrived, and that does not arrive while the system's buffer is full. Reads what has room first.
     pub(super) fn hides_end(&mut self) -> bool {
-        if self.input.is_empty() || !self.is_open() {
+        if self.is_drained || !self.is_open() {
             return false;
         }
         self.read_input();
-        !self.eof && !self.broken && self.peek().is_ok_and(|bytes| bytes > 0)
+        !self.is_drained && !self.eof && !self.broken && self.peek().is_ok_and(|bytes| bytes > 0)
     }
 
     /// Looks for unread input, without taking it. Returns how many bytes were found, at most one; 0 at its end.
