Run a job that must not be repeated once under its id, also over an upgrade

Cause: an id was known while its request was in the table of open requests, and to its own process.

A successor gets the ids with the state. While two processes run, each tells an id before the first byte of the first attempt and reads what the other has told after that; a request that is not sent yet fails if the other process sends its id. A process in the middle passes ids on. The message goes to the name of no service, which older versions ignore. Batch submission is not concerned: its ids are the jobs' own, and its keys are handed over.

--- a/crates/node/src/clients/reply.rs
+++ b/crates/node/src/clients/reply.rs
@@ -51,7 +51,7 @@
         let status = match error {
             // The request has not run, so a retry is safe.
             RequestError::TooMany | RequestError::NoSeat(_) => 503,
-            RequestError::IdOpen => 409,
+            RequestError::IdOpen | RequestError::IdSent => 409,
             _ => 400,
         };
         Notice::new(status, error.to_string())
--- a/crates/node/src/clients/request_parser.rs
+++ b/crates/node/src/clients/request_parser.rs
@@ -93,6 +93,7 @@
         slots: resources.slots,
         memory: resources.memory,
         licences: resources.licences,
+        has_client_id: true,
         payload: Payload {
             transaction_id,
             key: forwarded_field(head, "Idempotency-Key")?,
--- a/crates/node/src/core/accounting.rs
+++ b/crates/node/src/core/accounting.rs
@@ -106,7 +106,7 @@
             answer,
             last_attempt_sent_at,
         });
-        self.table.remove_if_done(id);
+        self.remove_if_done(id);
         true
     }
 
--- a/crates/node/src/core/admission.rs
+++ b/crates/node/src/core/admission.rs
@@ -25,7 +25,7 @@
         if self.close(id) {
             self.counts.clients_left += 1;
             self.pending.push_back(Event::ClientLeft(id));
-            self.table.remove_if_done(id);
+            self.remove_if_done(id);
             self.decide(now);
         }
         last_attempt_sent_at
--- a/crates/node/src/core/attempts.rs
+++ b/crates/node/src/core/attempts.rs
@@ -20,6 +20,7 @@
         let worker = attempt.worker;
         attempt.timer = Some(self.timers.add(deadline, Timer::Attempt(id, number)));
         let payload = request.payload.clone();
+        self.remember_id(id);
         self.counts.attempts += 1;
         log::trace!("call {}.{number} to {:016x}", id.0, worker.0);
         self.commands
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -13,6 +13,8 @@
 mod probes;
 mod responses;
 mod routing;
+mod sent_ids;
+mod sharing;
 mod table;
 mod timers;
 mod validation;
@@ -28,6 +30,7 @@
     WorkerListKind,
 };
 use probes::PendingProbe;
+use sent_ids::SentIds;
 use std::collections::{HashMap, VecDeque};
 use table::Table;
 use timers::{Timer, Timers};
@@ -51,6 +54,10 @@
     /// Open requests of which a running attempt has ended; each is reported as requeued unless it was answered or runs
     /// elsewhere.
     requeue_candidates: Vec<RequestId>,
+    /// The ids of requests that must not run twice and may have run.
+    sent_ids: SentIds,
+    /// Those of them that the other process of an upgrade has not been told; none while there is no other process.
+    unshared_ids: Option<Vec<String>>,
     /// Licence seats, if any are configured.
     pub licensing: Option<licensing::Licensing>,
     /// Probes that wait for the number of attempts in flight from all nodes.
@@ -85,6 +92,8 @@
             actions: Vec::new(),
             commands: VecDeque::new(),
             requeue_candidates: Vec::new(),
+            sent_ids: SentIds::default(),
+            unshared_ids: None,
             licensing: None,
             pending_probes: HashMap::new(),
         })
--- a/crates/node/src/core/names.rs
+++ b/crates/node/src/core/names.rs
@@ -58,6 +58,12 @@
         Ok((id, tenant))
     }
 
+    /// Whether requests of a class must not run twice.
+    pub(super) fn must_run_once(&self, class: ClassId) -> bool {
+        let class = self.classes.get(class.0 as usize);
+        class.is_some_and(|(_, class)| !matches!(class.idempotency, Idempotency::Idempotent))
+    }
+
     /// The names of the tenants, in the order of the settings.
     pub fn tenants(&self) -> &[String] {
         &self.tenants
--- a/crates/node/src/core/responses.rs
+++ b/crates/node/src/core/responses.rs
@@ -134,6 +134,6 @@
             latency,
             report,
         }));
-        self.table.remove_if_done(id);
+        self.remove_if_done(id);
     }
 }
--- a/crates/node/src/core/table.rs
+++ b/crates/node/src/core/table.rs
@@ -4,7 +4,7 @@
 use super::timers::TimerKey;
 use super::Payload;
 use marbledeck_dispatcher::{ClassId, Micros, RequestId, WorkerId};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 /// The progress of an attempt.
@@ -56,6 +56,8 @@
     pub closed: bool,
     /// The timer of its deadline; none if it is closed.
     pub timer: Option<TimerKey>,
+    /// Whether no other request with its id may run.
+    pub has_unique_id: bool,
     /// The licences that each of its attempts needs.
     pub needs: LicenceNeeds,
     /// Its attempts, by number.
@@ -93,7 +95,7 @@
     next_id: u64,
     unanswered: usize,
     /// The transaction ids of all requests in the table.
-    transaction_ids: HashSet<String>,
+    transaction_ids: HashMap<String, RequestId>,
     /// The total size in bytes of the bodies of all requests in the table.
     body_bytes: usize,
     /// The total size in bytes of the payloads of all requests in the table that have a small body.
@@ -111,7 +113,8 @@
     ) -> RequestId {
         let id = RequestId(self.next_id);
         self.next_id += 1;
-        self.transaction_ids.insert(payload.transaction_id.clone());
+        let transaction_id = payload.transaction_id.clone();
+        self.transaction_ids.insert(transaction_id, id);
         self.body_bytes += payload.body.len();
         self.small_payload_bytes += payload.small_bytes();
         let request = Request {
@@ -120,6 +123,7 @@
             deadline,
             closed: false,
             timer: None,
+            has_unique_id: false,
             needs,
             attempts: Vec::new(),
         };
@@ -156,24 +160,29 @@
         self.requests.get(&id).is_none_or(|request| request.closed)
     }
 
-    /// Removes a request that is closed and has no attempt in flight.
-    pub fn remove_if_done(&mut self, id: RequestId) {
+    /// Removes and returns a request that is closed and has no attempt in flight.
+    pub fn remove_if_done(&mut self, id: RequestId) -> Option<Request> {
         let is_done = |request: &Request| {
             request.closed && !request.attempts.iter().any(Attempt::is_in_flight)
         };
         if !self.requests.get(&id).is_some_and(is_done) {
-            return;
-        }
-        if let Some(request) = self.requests.remove(&id) {
-            self.transaction_ids.remove(&request.payload.transaction_id);
-            self.body_bytes -= request.payload.body.len();
-            self.small_payload_bytes -= request.payload.small_bytes();
+            return None;
         }
+        let request = self.requests.remove(&id)?;
+        self.transaction_ids.remove(&request.payload.transaction_id);
+        self.body_bytes -= request.payload.body.len();
+        self.small_payload_bytes -= request.payload.small_bytes();
+        Some(request)
     }
 
     /// Whether a request with this transaction id is in the table.
     pub fn has_transaction(&self, transaction_id: &str) -> bool {
-        self.transaction_ids.contains(transaction_id)
+        self.transaction_ids.contains_key(transaction_id)
+    }
+
+    /// The request with this transaction id, if it is in the table.
+    pub fn find(&self, transaction_id: &str) -> Option<RequestId> {
+        self.transaction_ids.get(transaction_id).copied()
     }
 
     /// The total size in bytes of the bodies of all requests in the table.
--- a/crates/node/src/core/validation.rs
+++ b/crates/node/src/core/validation.rs
@@ -28,6 +28,8 @@
     pub memory: f64,
     /// Licences that it needs besides those of its class.
     pub licences: Vec<&'a str>,
+    /// Whether its transaction id is the client's, so that it must not run twice under this id if it may not be repeated.
+    pub has_client_id: bool,
     /// The content that workers get.
     pub payload: Payload,
 }
@@ -50,6 +52,9 @@
     /// Another request with this transaction id is open.
     #[error("this id is open")]
     IdOpen,
+    /// Another request with this transaction id may have run, and must not run twice.
+    #[error("this id may have run")]
+    IdSent,
     /// The limit of open requests is reached.
     #[error("too many invocations are open")]
     TooMany,
@@ -80,6 +85,10 @@
         if self.table.has_transaction(&request.payload.transaction_id) {
             return Err(RequestError::IdOpen);
         }
+        let has_unique_id = request.has_client_id && self.names.must_run_once(class);
+        if has_unique_id && self.is_sent_id(now, &request.payload.transaction_id) {
+            return Err(RequestError::IdSent);
+        }
         let needs = self.check_capacity(now, class, tenant, &request.licences)?;
         let deadline = now + request.time_left;
         let transaction_id = request.payload.transaction_id.clone();
@@ -90,6 +99,7 @@
             .add(deadline + OVERDUE_AFTER, Timer::Deadline(id));
         if let Some(request) = self.table.get(id) {
             request.timer = Some(timer);
+            request.has_unique_id = has_unique_id;
         }
         self.counts.accepted += 1;
         let (ClassId(c), TenantId(t), left) = (class, tenant, request.time_left.0);
--- a/crates/node/src/handover/message.rs
+++ b/crates/node/src/handover/message.rs
@@ -15,6 +15,14 @@
 impl Side {
     /// Both sides, in the order in which they are served.
     pub const BOTH: [Side; 2] = [Side::Predecessor, Side::Successor];
+
+    /// The role of the process on the other side of this one.
+    pub fn opposite(self) -> Side {
+        match self {
+            Side::Predecessor => Side::Successor,
+            Side::Successor => Side::Predecessor,
+        }
+    }
 }
 
 /// A message to the other process.
--- a/crates/node/src/handover/mod.rs
+++ b/crates/node/src/handover/mod.rs
@@ -256,7 +256,8 @@
         }
     }
 
-    fn token_of(&self, side: Side) -> Option<Token> {
+    /// The link to the process with this role, if there is one.
+    pub fn token_of(&self, side: Side) -> Option<Token> {
         match side {
             Side::Predecessor => self.predecessor.token(),
             Side::Successor => self.successor.token(),
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -317,7 +317,8 @@
         self.client_buffer_bytes = self.client_buffer_bytes + bytes - before;
     }
 
-    fn flush_connection(&mut self, token: Token) {
+    /// Writes the output of one connection, ahead of [`Net::flush`].
+    pub fn flush_connection(&mut self, token: Token) {
         self.write_output(token);
         self.count_buffers(token);
     }
--- a/crates/node/src/node/builder.rs
+++ b/crates/node/src/node/builder.rs
@@ -107,6 +107,8 @@
         builder.start_consensus(operator_config.consensus)?;
         builder.start_federation(operator_config.site);
         builder.load_lists(list, static_workers);
+        let sent_ids = std::mem::take(&mut builder.takeover.state.sent_ids);
+        builder.context.core.add_foreign_ids(now, &sent_ids);
         let handover = builder.start_handover(handover_socket)?;
         signals.register(&mut builder.context.net)?;
         log::info!("{} serves at {}", builder.node_name, clients.addr);
--- a/crates/node/src/node/commands.rs
+++ b/crates/node/src/node/commands.rs
@@ -25,6 +25,7 @@
     /// deadline may have made an attempt invalid.
     fn recheck_before_sending(&mut self) {
         let now = self.clock.now();
+        self.exchange_ids(now);
         let context = &mut self.context;
         context.now = now;
         let (fleet, net, core) = (&mut context.fleet, &mut context.net, &mut context.core);
--- a/crates/node/src/node/limits.rs
+++ b/crates/node/src/node/limits.rs
@@ -78,6 +78,9 @@
         if let Some(operators) = &mut self.operators {
             operators.set_max_callers(admin::MAX_CALLERS / processes);
         }
+        self.context
+            .core
+            .set_shares_ids(self.handover.has_partner());
         let rate_sharers = 1 + u32::from(self.handover.shares_jobs());
         if self.limits.rate_sharers != rate_sharers {
             self.limits.rate_sharers = rate_sharers;
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -214,7 +214,7 @@
         }
     }
 
-    fn handle_partner_event(&mut self, now: Micros, event: &Ready) {
+    pub(super) fn handle_partner_event(&mut self, now: Micros, event: &Ready) {
         if event.listener {
             let accepted = self.handover.accept(&mut self.context.net);
             self.handle_handover_event(now, accepted);
--- a/crates/node/src/node/replacement.rs
+++ b/crates/node/src/node/replacement.rs
@@ -8,11 +8,16 @@
 use marbledeck_dispatcher::Micros;
 use rustix::fd::OwnedFd;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::path::Path;
 
+/// The name under which the processes tell each other the ids of requests. It is that of no service, and a process that
+/// does not know it ignores such a message.
+const REQUEST_IDS: &str = "request-ids";
+
 /// The state of the running process from which its successor starts.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(super) struct HandoverState {
@@ -25,6 +30,9 @@
     /// The reports of all membership sources but discovery, by source name.
     #[serde(default)]
     pub(super) sources: BTreeMap<String, Vec<EndpointEntry>>,
+    /// The ids of requests that must not run twice and may have run.
+    #[serde(default, rename = "ids", skip_serializing_if = "Vec::is_empty")]
+    pub(super) sent_ids: Vec<String>,
 }
 
 /// Whether the predecessor was notified that this process can serve.
@@ -139,6 +147,7 @@
             discovery: self.context.discovery.state(now, members),
             services: names.map(str::to_owned).collect(),
             sources: discovery::entries_of_other_sources(members),
+            sent_ids: self.context.core.sent_ids(),
         }
     }
 
@@ -153,6 +162,9 @@
                     self.successor_services = names;
                 }
             }
+            Message::Service(name, ids) if name == REQUEST_IDS => {
+                self.add_foreign_ids(now, side, ids);
+            }
             Message::Service(name, message) => {
                 let mut services = self.services.iter_mut();
                 if let Some(service) = services.find(|service| service.name() == name) {
@@ -162,6 +174,42 @@
         }
     }
 
+    /// Records the ids of requests that another process sends to workers, and tells the process on the other side.
+    fn add_foreign_ids(&mut self, now: Micros, from: Side, message: Value) {
+        match serde_json::from_value::<Vec<String>>(message.clone()) {
+            Ok(ids) => self.context.core.add_foreign_ids(now, &ids),
+            Err(error) => {
+                return log::warn!("handover: ignoring invalid ids of the other process: {error}");
+            }
+        }
+        let message = Message::Service(REQUEST_IDS.to_owned(), message);
+        self.handover
+            .send_to(from.opposite(), &message, &mut self.context.net);
+    }
+
+    /// Tells the other processes which ids of requests are about to be sent to workers.
+    fn share_ids(&mut self) {
+        let ids = self.context.core.take_unshared_ids();
+        if !ids.is_empty() {
+            let message = Message::Service(REQUEST_IDS.to_owned(), ids.into());
+            self.handover.send_to_all(&message, &mut self.context.net);
+        }
+    }
+
+    /// Exchanges ids with the other processes right before attempts are sent. Each process writes its own before it reads
+    /// those of the other, so that of two processes that got the same id at least one learns of it in time.
+    pub(super) fn exchange_ids(&mut self, now: Micros) {
+        for side in Side::BOTH {
+            let Some(token) = self.handover.token_of(side) else {
+                continue;
+            };
+            self.context.net.flush_connection(token);
+            if let Some(event) = self.context.net.poll_connection(token) {
+                self.handle_partner_event(now, &event);
+            }
+        }
+    }
+
     fn handle_serving_successor(&mut self, now: Micros) {
         log::info!("the successor serves; the services hand over their state");
         for service in &mut self.services {
@@ -183,6 +231,7 @@
 
     /// Sends the services' messages to the other processes while their connections have room.
     pub(super) fn send_partner_messages(&mut self, now: Micros) {
+        self.share_ids();
         for side in Side::BOTH {
             for number in 0..self.services.len() {
                 self.send_service_messages(now, side, number);
--- a/crates/node/src/submission/scheduler.rs
+++ b/crates/node/src/submission/scheduler.rs
@@ -88,6 +88,8 @@
             slots: job.slots,
             memory: 0.0,
             licences,
+            // The id is the job's own, under which it may go on at another process.
+            has_client_id: false,
             payload,
         };
         self.0.core.accept_request(now, request).map_err(problem)
