Halve what clients may hold of the memory, so that a second process has room

The old process keeps what it holds when its limits are halved, and the new one needs its own lists, 9.4 MB with so many workers.

Change: clients' connections may take an eighth of the memory above 16 MB instead of a quarter, jobs with small bodies a sixteenth instead of an eighth.

The test of small jobs has a body budget of 4 KiB instead of 2, so that its share of it holds one job and not two, as before.

--- a/crates/node/src/clients/requests.rs
+++ b/crates/node/src/clients/requests.rs
@@ -12,6 +12,9 @@
 /// How long an attempt may be sent after the client was last known to be there: one that begins later than this after the
 /// client has closed its connection counts as a lost request.
 const MAX_HIDDEN_END: Micros = millis(100);
+/// The part of the budget for large bodies that jobs with small ones may take, as a divisor: a second process of the node has
+/// to fit into the memory too.
+const SMALL_BODIES_SHARE: usize = 4;
 /// No further request is read from a connection while more than this many bytes are still to be sent on it.
 const MAX_BACKLOG: usize = 16 * 1024;
 
@@ -155,7 +158,8 @@
                 let mut request = request_parser::parse_request(head)?;
                 request.payload.body = content;
                 let small_bytes = request.payload.small_bytes();
-                if core.small_payload_bytes() + small_bytes > self.body_budget / 2 {
+                if core.small_payload_bytes() + small_bytes > self.body_budget / SMALL_BODIES_SHARE
+                {
                     return Err(Notice::new(503, "too many requests in progress"));
                 }
                 Ok(core.accept_request(now, request)?)
--- a/crates/node/src/clients/tests.rs
+++ b/crates/node/src/clients/tests.rs
@@ -17,8 +17,8 @@
 const MAX_CONNECTIONS: usize = 8;
 /// Memory for the heads of two requests that have not arrived completely.
 const CONNECTION_BUDGET: usize = 48 * 1024;
-/// A budget for large bodies that allows small requests half of it.
-const BODY_BUDGET: usize = 2 * 1024;
+/// A budget for large bodies, of which small requests may take a quarter: room for one job with a long path.
+const BODY_BUDGET: usize = 4 * 1024;
 /// The settings of the exchanges, with the classes and tenants of the requests.
 const CONFIG: &str = include_str!("../../tests/exchanges/config.json");
 
--- a/crates/node/src/config/node.rs
+++ b/crates/node/src/config/node.rs
@@ -22,7 +22,7 @@
 const MEMORY_PER_BODY: usize = 4;
 /// The part of the memory above the reserved one that clients may take with incomplete requests and unread answers, as a
 /// divisor.
-const CONNECTION_MEMORY_SHARE: usize = 4;
+const CONNECTION_MEMORY_SHARE: usize = 8;
 const BYTES_PER_MB: usize = 1024 * 1024;
 /// How long a worker keeps an idle connection open, if the settings do not say.
 const DEFAULT_IDLE_TIMEOUT: Micros = Micros(5_000_000);
